--- /dev/null
+++ b/packages/backends/src/index.ts
@@ -0,0 +1,2 @@
+export * as client from './client.js';
+export * as engine from './engine.js';
--- /dev/null
+++ b/packages/decisions/src/cell.ts
@@ -0,0 +1,482 @@
+import type * as config from './config.js';
+import * as rank from './rank.js';
+import * as runners from './runner.js';
+import * as tickets from './ticket.js';
+
+/** Waiting tickets that a cell holds at most. */
+export const MAX_WAITING = 512;
+
+/** How long a new keeper collects what hosts are running before it grants, in milliseconds. */
+export const RECOVERY_MS = 1000;
+
+/** How long lower tiers stay shut out after a higher tier was shed, in milliseconds. */
+export const CUTOFF_MS = 1000;
+
+/** How long a slot of a lost host stays occupied, in milliseconds. */
+export const ORPHAN_HOLD_MS = 3000;
+
+/** How long past its deadline a slot may stay unreleased, in milliseconds. */
+export const RELEASE_GRACE_MS = 2000;
+
+const NO_RUNNER_RETRY_MS = 1000;
+
+/** Why a ticket was turned away: `deadline` means it could not be met even on an idle cell. */
+export type RefusalReason = 'overloaded' | 'deadline' | 'no-runner';
+
+/** What a cell is told. */
+export type CellEvent =
+  | {readonly kind: 'ask'; readonly ticket: tickets.Ticket}
+  | {readonly kind: 'cancel'; readonly ticketId: string}
+  | {
+      readonly kind: 'done';
+      readonly ticketId: string;
+      readonly outcome: runners.Outcome;
+    }
+  | {
+      readonly kind: 'recover';
+      readonly host: string;
+      readonly running: readonly tickets.Running[];
+    }
+  | {readonly kind: 'host-gone'; readonly host: string}
+  | {
+      readonly kind: 'configure';
+      readonly servers: readonly config.BackendServer[];
+      readonly versionsByServer: ReadonlyMap<string, readonly string[]>;
+    }
+  | {
+      readonly kind: 'signal';
+      readonly runner: string;
+      readonly isLeaving: boolean;
+    }
+  | {readonly kind: 'tick'};
+
+/** What a cell wants done. */
+export type CellEffect =
+  | {
+      readonly kind: 'grant';
+      readonly ticket: tickets.Ticket;
+      readonly server: config.BackendServer;
+    }
+  | {
+      readonly kind: 'refuse';
+      readonly ticket: tickets.Ticket;
+      readonly reason: RefusalReason;
+      readonly retryAfterMs: number;
+    };
+
+/** A cell after an event, with what it wants done. */
+export interface Applied {
+  readonly cell: Cell;
+  readonly effects: readonly CellEffect[];
+}
+
+interface Cutoff {
+  readonly tier: config.Tier;
+  readonly untilMs: number;
+}
+
+interface CellFields {
+  readonly runners: ReadonlyMap<string, runners.Runner>;
+  readonly waiting: readonly tickets.Ticket[];
+  readonly running: ReadonlyMap<string, tickets.Running>;
+  /** Hosts whose report is still missing; grants wait for them until `recoverUntilMs`. */
+  readonly unreported: ReadonlySet<string>;
+  readonly recoverUntilMs: number;
+  /** Slots of lost hosts, by ticket, with the time at which they are freed. */
+  readonly orphans: ReadonlyMap<string, number>;
+  readonly cutoff: Cutoff | undefined;
+}
+
+type Handlers = {
+  readonly [K in CellEvent['kind']]: (
+    cell: Cell,
+    event: Extract<CellEvent, {kind: K}>,
+    nowMs: number,
+  ) => Applied;
+};
+
+/**
+ * The slots of one service in one zone and the tickets that wait for them.
+ *
+ * Invariants:
+ * - a ticket is either waiting or running, never both, and is granted once;
+ * - no ticket is granted on a runner that a better-ranked ticket waits for;
+ * - when a ticket is refused as overloaded, no ticket of a lower tier waits,
+ *   and none is taken in until `CUTOFF_MS` have passed.
+ */
+export class Cell {
+  private constructor(private readonly fields: CellFields) {}
+
+  /** An empty cell that waits for the reports of `hosts` before it grants. */
+  static recovering(hosts: readonly string[], nowMs: number): Cell {
+    return new Cell({
+      runners: new Map(),
+      waiting: [],
+      running: new Map(),
+      unreported: new Set(hosts),
+      recoverUntilMs: nowMs + RECOVERY_MS,
+      orphans: new Map(),
+      cutoff: undefined,
+    });
+  }
+
+  get waiting(): readonly tickets.Ticket[] {
+    return this.fields.waiting;
+  }
+
+  get running(): readonly tickets.Running[] {
+    return [...this.fields.running.values()];
+  }
+
+  get runners(): readonly runners.Runner[] {
+    return [...this.fields.runners.values()];
+  }
+
+  /** True while the cell still collects reports and grants nothing. */
+  isRecovering(nowMs: number): boolean {
+    return this.fields.unreported.size > 0 && nowMs < this.fields.recoverUntilMs;
+  }
+
+  /** The cell after `event` at `nowMs`, with what it wants done. */
+  apply(event: CellEvent, nowMs: number): Applied {
+    const handler = HANDLERS[event.kind] as (
+      cell: Cell,
+      event: CellEvent,
+      nowMs: number,
+    ) => Applied;
+    const handled = handler(this, event, nowMs);
+    const granted = handled.cell.grantWhatFits(nowMs);
+    return {
+      cell: granted.cell,
+      effects: [...handled.effects, ...granted.effects],
+    };
+  }
+
+  /** The cell with some fields replaced; for the handlers in this module. */
+  with(change: Partial<CellFields>): Cell {
+    return new Cell({...this.fields, ...change});
+  }
+
+  /** The cell without a waiting ticket. */
+  withoutWaiting(ticketId: string): Cell {
+    const {waiting} = this.fields;
+    if (!waiting.some(t => t.id === ticketId)) return this;
+    return this.with({waiting: waiting.filter(t => t.id !== ticketId)});
+  }
+
+  /** Takes a ticket in, or turns it away when its deadline can't be met. */
+  admit(ticket: tickets.Ticket, nowMs: number): Applied {
+    if (this.knows(ticket.id)) return {cell: this, effects: []};
+    const usable = this.usable(ticket, nowMs);
+    if (usable.length === 0) return this.refuse(ticket, 'no-runner', NO_RUNNER_RETRY_MS);
+    const fastestMs = Math.min(...usable.map(r => r.expectedMs(ticket)));
+    if (nowMs + fastestMs > ticket.deadlineMs) {
+      return this.refuse(ticket, 'deadline', 0);
+    }
+    if (this.isCutOff(ticket.tier, nowMs)) {
+      return this.refuse(ticket, 'overloaded', CUTOFF_MS);
+    }
+    const waitMs = this.expectedWaitMs(ticket, usable, nowMs);
+    if (nowMs + waitMs + fastestMs > ticket.deadlineMs) {
+      return this.shed(ticket, waitMs, nowMs);
+    }
+    const joined = this.with({waiting: [...this.fields.waiting, ticket]});
+    if (joined.waiting.length <= MAX_WAITING) return {cell: joined, effects: []};
+    const last = rank.lastToKeep(joined.waiting) as tickets.Ticket;
+    return joined.withoutWaiting(last.id).shed(last, waitMs, nowMs);
+  }
+
+  /** Turns a ticket away for overload: first everything waiting in lower tiers, then the ticket itself. */
+  shed(ticket: tickets.Ticket, waitMs: number, nowMs: number): Applied {
+    const lower = this.fields.waiting.filter(t => t.tier > ticket.tier);
+    const shedding = [...lower].sort((a, b) => b.tier - a.tier);
+    const retryAfterMs = Math.ceil(Math.max(waitMs, CUTOFF_MS));
+    const cutoff = this.cutoffAfter(ticket.tier, nowMs);
+    const cell = this.with({
+      waiting: this.fields.waiting.filter(t => t.tier <= ticket.tier),
+      cutoff,
+    });
+    const effects = [...shedding, ticket].map(
+      (shed): CellEffect => ({
+        kind: 'refuse',
+        ticket: shed,
+        reason: 'overloaded',
+        retryAfterMs,
+      }),
+    );
+    return {cell, effects};
+  }
+
+  /** Ends the slot of a ticket, if it has one; the runner learns the outcome. */
+  release(ticketId: string, outcome: runners.Outcome, nowMs: number): Cell {
+    const held = this.fields.running.get(ticketId);
+    if (!held) return this;
+    const running = new Map(this.fields.running);
+    running.delete(ticketId);
+    const orphans = new Map(this.fields.orphans);
+    orphans.delete(ticketId);
+    const runner = this.fields.runners.get(held.runner);
+    if (!runner) return this.with({running, orphans});
+    const freed = runner
+      .release(held.ticket, tickets.slotTokens(held.ticket))
+      .observe(outcome, nowMs);
+    const next = new Map(this.fields.runners).set(freed.name, freed);
+    return this.with({running, orphans, runners: next});
+  }
+
+  /** Takes over a slot that a host reports to be in use. */
+  adopt(held: tickets.Running): Cell {
+    const {running, runners: all, orphans} = this.fields;
+    if (running.has(held.ticket.id)) return this;
+    const runner = all.get(held.runner);
+    if (!runner) return this;
+    const tokens = tickets.slotTokens(held.ticket);
+    const left = new Map(orphans);
+    left.delete(held.ticket.id);
+    return this.withoutWaiting(held.ticket.id).with({
+      running: new Map(running).set(held.ticket.id, held),
+      runners: new Map(all).set(runner.name, runner.occupy(held.ticket, tokens)),
+      orphans: left,
+    });
+  }
+
+  /** Forgets what waits for a lost host and frees its slots after `ORPHAN_HOLD_MS`. */
+  abandon(host: string, nowMs: number): Cell {
+    const orphans = new Map(this.fields.orphans);
+    for (const held of this.running) {
+      if (held.ticket.host !== host) continue;
+      orphans.set(held.ticket.id, nowMs + ORPHAN_HOLD_MS);
+    }
+    return this.reported(host).with({
+      orphans,
+      waiting: this.fields.waiting.filter(t => t.host !== host),
+    });
+  }
+
+  /** Notes that a host's report has come. */
+  reported(host: string): Cell {
+    if (!this.fields.unreported.has(host)) return this;
+    const unreported = new Set(this.fields.unreported);
+    unreported.delete(host);
+    return this.with({unreported});
+  }
+
+  /** Replaces the set of runners; slots on removed ones are forgotten. */
+  configure(
+    servers: readonly config.BackendServer[],
+    versionsByServer: ReadonlyMap<string, readonly string[]>,
+  ): Cell {
+    const next = new Map<string, runners.Runner>();
+    for (const server of servers) {
+      const known = this.fields.runners.get(server.name);
+      const versions = versionsByServer.get(server.name) ?? [];
+      next.set(
+        server.name,
+        known
+          ? known.configured(server, versions)
+          : runners.Runner.of(server, versions),
+      );
+    }
+    const running = [...this.fields.running].filter(([, r]) =>
+      next.has(r.runner),
+    );
+    return this.with({runners: next, running: new Map(running)});
+  }
+
+  /** Notes that a runner is leaving, or no longer is. */
+  signal(name: string, isLeaving: boolean): Cell {
+    const runner = this.fields.runners.get(name);
+    if (!runner) return this;
+    const signalled = runner.signalled(isLeaving);
+    return this.with({
+      runners: new Map(this.fields.runners).set(name, signalled),
+    });
+  }
+
+  /** Frees overdue slots and turns away tickets whose deadline can no longer be met. */
+  sweep(nowMs: number): Applied {
+    const overdue = this.running.filter(held => {
+      const orphanUntilMs = this.fields.orphans.get(held.ticket.id) ?? Infinity;
+      const releaseByMs = held.ticket.deadlineMs + RELEASE_GRACE_MS;
+      return nowMs >= Math.min(orphanUntilMs, releaseByMs);
+    });
+    let cell = overdue.reduce<Cell>(
+      (c, held) => c.release(held.ticket.id, {kind: 'cancelled'}, nowMs),
+      this,
+    );
+    const effects: CellEffect[] = [];
+    const byTier = [...cell.waiting].sort((a, b) => b.tier - a.tier);
+    for (const ticket of byTier) {
+      if (!cell.waiting.includes(ticket)) continue;
+      if (cell.usable(ticket, nowMs).length === 0) {
+        const refused = cell.refuse(ticket, 'no-runner', NO_RUNNER_RETRY_MS);
+        cell = refused.cell.withoutWaiting(ticket.id);
+        effects.push(...refused.effects);
+        continue;
+      }
+      if (nowMs + cell.fastestMs(ticket, nowMs) <= ticket.deadlineMs) continue;
+      const applied = cell.withoutWaiting(ticket.id).shed(ticket, 0, nowMs);
+      cell = applied.cell;
+      effects.push(...applied.effects);
+    }
+    return {cell, effects};
+  }
+
+  private knows(ticketId: string): boolean {
+    return (
+      this.fields.running.has(ticketId) ||
+      this.fields.waiting.some(t => t.id === ticketId)
+    );
+  }
+
+  private refuse(
+    ticket: tickets.Ticket,
+    reason: RefusalReason,
+    retryAfterMs: number,
+  ): Applied {
+    return {
+      cell: this,
+      effects: [{kind: 'refuse', ticket, reason, retryAfterMs}],
+    };
+  }
+
+  private usable(
+    ticket: tickets.Ticket,
+    nowMs: number,
+  ): readonly runners.Runner[] {
+    const able = this.runners.filter(r => r.serves(ticket));
+    const open = able.filter(r => r.isOpen(nowMs));
+    return open.length > 0 ? open : able.filter(r => r.state === 'down');
+  }
+
+  private fastestMs(ticket: tickets.Ticket, nowMs: number): number {
+    const usable = this.usable(ticket, nowMs);
+    return Math.min(...usable.map(r => r.expectedMs(ticket)));
+  }
+
+  private isCutOff(tier: config.Tier, nowMs: number): boolean {
+    const {cutoff} = this.fields;
+    return !!cutoff && nowMs < cutoff.untilMs && tier > cutoff.tier;
+  }
+
+  private cutoffAfter(tier: config.Tier, nowMs: number): Cutoff {
+    const {cutoff} = this.fields;
+    const isStricter = cutoff && nowMs < cutoff.untilMs && cutoff.tier < tier;
+    return isStricter ? cutoff : {tier, untilMs: nowMs + CUTOFF_MS};
+  }
+
+  /** The expected wait: work ahead of the ticket divided by the budget of the runners it may use. */
+  private expectedWaitMs(
+    ticket: tickets.Ticket,
+    usable: readonly runners.Runner[],
+    nowMs: number,
+  ): number {
+    const tokens = tickets.slotTokens(ticket);
+    const ahead = this.fields.waiting.filter(
+      t =>
+        t.tier < ticket.tier ||
+        (t.tier === ticket.tier && t.deadlineMs <= ticket.deadlineMs),
+    );
+    const fitsNow = usable.some(r => r.fits(ticket, tokens, nowMs));
+    if (fitsNow && ahead.length === 0) return 0;
+    const names = new Set(usable.map(r => r.name));
+    let workMs = 0;
+    for (const held of this.running) {
+      const runner = this.fields.runners.get(held.runner);
+      if (!runner || !names.has(held.runner)) continue;
+      const leftMs = held.grantedMs + runner.expectedMs(held.ticket) - nowMs;
+      workMs += Math.max(0, leftMs) * runner.shareOf(held.ticket);
+    }
+    const typical = usable[0];
+    for (const other of ahead) {
+      workMs += this.fastestMs(other, nowMs) * typical.shareOf(other);
+    }
+    return workMs / (usable.length * runners.TIER_CEILING[ticket.tier]);
+  }
+
+  /** Grants in rank order; a ticket that does not fit keeps the runners it needs from those behind it. */
+  private grantWhatFits(nowMs: number): Applied {
+    if (this.fields.waiting.length === 0 || this.isRecovering(nowMs)) {
+      return {cell: this, effects: []};
+    }
+    const capacityTokens = this.runners.reduce(
+      (sum, r) => sum + r.server.slotTokens,
+      0,
+    );
+    const usage = rank.Usage.of(this.running, this.waiting, capacityTokens);
+    const blocked = new Set<string>();
+    const effects: CellEffect[] = [];
+    let cell = this.with({});
+    for (const ticket of rank.ordered(this.waiting, usage)) {
+      if (blocked.size >= this.fields.runners.size) break;
+      const runner = cell.bestFit(ticket, blocked, nowMs);
+      if (!runner) {
+        for (const name of cell.neededBy(ticket)) blocked.add(name);
+        continue;
+      }
+      cell = cell.adopt({ticket, runner: runner.name, grantedMs: nowMs});
+      effects.push({kind: 'grant', ticket, server: runner.server});
+    }
+    return {cell, effects};
+  }
+
+  private bestFit(
+    ticket: tickets.Ticket,
+    blocked: ReadonlySet<string>,
+    nowMs: number,
+  ): runners.Runner | undefined {
+    const tokens = tickets.slotTokens(ticket);
+    let best: runners.Runner | undefined;
+    let bestMs = Infinity;
+    for (const runner of this.fields.runners.values()) {
+      if (blocked.has(runner.name) || !runner.serves(ticket)) continue;
+      if (!runner.fits(ticket, tokens, nowMs)) continue;
+      const scoreMs = runner.expectedMs(ticket) * (1 + runner.load);
+      if (scoreMs >= bestMs) continue;
+      best = runner;
+      bestMs = scoreMs;
+    }
+    return best;
+  }
+
+  /** The runners that are kept free for a ticket that does not fit: one for a suspect, else all that serve it. */
+  private neededBy(ticket: tickets.Ticket): readonly string[] {
+    const able = this.runners.filter(r => r.serves(ticket));
+    if (!ticket.isSuspect) return able.map(r => r.name);
+    const emptiest = [...able].sort((a, b) => a.running - b.running)[0];
+    return emptiest ? [emptiest.name] : [];
+  }
+}
+
+const HANDLERS: Handlers = {
+  ask: (cell, event, nowMs) => cell.admit(event.ticket, nowMs),
+  cancel: (cell, event, nowMs) => ({
+    cell: cell
+      .withoutWaiting(event.ticketId)
+      .release(event.ticketId, {kind: 'cancelled'}, nowMs),
+    effects: [],
+  }),
+  done: (cell, event, nowMs) => ({
+    cell: cell.release(event.ticketId, event.outcome, nowMs),
+    effects: [],
+  }),
+  recover: (cell, event) => ({
+    cell: event.running
+      .reduce((c, held) => c.adopt(held), cell)
+      .reported(event.host),
+    effects: [],
+  }),
+  'host-gone': (cell, event, nowMs) => ({
+    cell: cell.abandon(event.host, nowMs),
+    effects: [],
+  }),
+  configure: (cell, event) => ({
+    cell: cell.configure(event.servers, event.versionsByServer),
+    effects: [],
+  }),
+  signal: (cell, event) => ({
+    cell: cell.signal(event.runner, event.isLeaving),
+    effects: [],
+  }),
+  tick: (cell, _, nowMs) => cell.sweep(nowMs),
+};
--- /dev/null
+++ b/packages/decisions/src/index.ts
@@ -0,0 +1,17 @@
+export * as answer from './answer.js';
+export * as cell from './cell.js';
+export * as claim from './claim.js';
+export * as clock from './clock.js';
+export * as config from './config.js';
+export * as life from './life.js';
+export * as membership from './membership.js';
+export * as pace from './pace.js';
+export * as policy from './policy.js';
+export * as prefix from './prefix.js';
+export * as random from './random.js';
+export * as rank from './rank.js';
+export * as rendezvous from './rendezvous.js';
+export * as runner from './runner.js';
+export * as suspects from './suspects.js';
+export * as ticket from './ticket.js';
+export * as verdict from './verdict.js';
--- /dev/null
+++ b/packages/decisions/src/rendezvous.ts
@@ -0,0 +1,35 @@
+const FNV_OFFSET = 0x811c9dc5;
+const FNV_PRIME = 0x01000193;
+
+/** A 32-bit hash of a string (FNV-1a with a final mix); the same on every host. */
+export function hash32(text: string): number {
+  let h = FNV_OFFSET;
+  for (let i = 0; i < text.length; i++) {
+    h ^= text.charCodeAt(i);
+    h = Math.imul(h, FNV_PRIME);
+  }
+  h ^= h >>> 16;
+  h = Math.imul(h, 0x85ebca6b);
+  h ^= h >>> 13;
+  h = Math.imul(h, 0xc2b2ae35);
+  return (h ^ (h >>> 16)) >>> 0;
+}
+
+/** Nodes ordered by rendezvous weight for `key`, the owner first; removing a node moves only its own keys. */
+export function ranked(
+  key: string,
+  nodes: readonly string[],
+): readonly string[] {
+  return nodes
+    .map(node => ({node, weight: hash32(`${key}|${node}`)}))
+    .sort((a, b) => b.weight - a.weight || (a.node < b.node ? -1 : 1))
+    .map(entry => entry.node);
+}
+
+/** The node that owns `key`, or undefined when there are no nodes. */
+export function owner(
+  key: string,
+  nodes: readonly string[],
+): string | undefined {
+  return ranked(key, nodes)[0];
+}
--- /dev/null
+++ b/packages/decisions/src/runner.ts
@@ -0,0 +1,235 @@
+import type * as config from './config.js';
+import * as pace from './pace.js';
+import * as prefix from './prefix.js';
+import * as tickets from './ticket.js';
+
+const FIRST_BACKOFF_MS = 500;
+const MAX_BACKOFF_MS = 10_000;
+
+/** What happened to a request that was granted a slot. */
+export type Outcome =
+  | {readonly kind: 'completed'; readonly measured: pace.Measured}
+  | {readonly kind: 'cancelled'}
+  | {readonly kind: 'not-admitted'; readonly isLeaving: boolean}
+  | {readonly kind: 'unreachable'}
+  | {readonly kind: 'crashed'}
+  | {readonly kind: 'failed'};
+
+/** Whether a runner takes new work; `down` is retried after a backoff. */
+export type RunnerState = 'live' | 'leaving' | 'down';
+
+/** The share of a runner's budget that each tier may fill; the rest is headroom for higher tiers. */
+export const TIER_CEILING: Readonly<Record<config.Tier, number>> = {
+  1: 1,
+  2: 0.9,
+  3: 0.8,
+};
+
+interface RunnerFields {
+  readonly server: config.BackendServer;
+  readonly versions: readonly string[];
+  readonly state: RunnerState;
+  readonly failures: number;
+  readonly retryAtMs: number;
+  readonly pace: pace.Pace;
+  readonly cached: prefix.PrefixGuess;
+  readonly usedTokens: number;
+  readonly running: number;
+  readonly hasSuspect: boolean;
+}
+
+type OutcomeHandlers = {
+  readonly [K in Outcome['kind']]: (
+    runner: Runner,
+    outcome: Extract<Outcome, {kind: K}>,
+    nowMs: number,
+  ) => Runner;
+};
+
+/**
+ * A backend server as its cell sees it. Invariant: `usedTokens` and
+ * `running` count exactly the tickets that hold a slot on it.
+ */
+export class Runner {
+  private constructor(private readonly fields: RunnerFields) {}
+
+  /** An idle, live runner. */
+  static of(
+    server: config.BackendServer,
+    versions: readonly string[] = [],
+  ): Runner {
+    return new Runner({
+      server,
+      versions,
+      state: 'live',
+      failures: 0,
+      retryAtMs: 0,
+      pace: pace.INITIAL_PACE,
+      cached: prefix.PrefixGuess.empty,
+      usedTokens: 0,
+      running: 0,
+      hasSuspect: false,
+    });
+  }
+
+  get name(): string {
+    return this.fields.server.name;
+  }
+
+  get server(): config.BackendServer {
+    return this.fields.server;
+  }
+
+  get state(): RunnerState {
+    return this.fields.state;
+  }
+
+  get running(): number {
+    return this.fields.running;
+  }
+
+  get pace(): pace.Pace {
+    return this.fields.pace;
+  }
+
+  get versions(): readonly string[] {
+    return this.fields.versions;
+  }
+
+  /** The share of the budget in use, from 0 to 1. */
+  get load(): number {
+    const {server, usedTokens, running} = this.fields;
+    return Math.max(
+      usedTokens / server.slotTokens,
+      running / server.maxRunning,
+    );
+  }
+
+  /** True when the runner may take new work at `nowMs`; a runner that is down takes one request as a probe. */
+  isOpen(nowMs: number): boolean {
+    const {state, retryAtMs, running} = this.fields;
+    if (state === 'live') return true;
+    return state === 'down' && nowMs >= retryAtMs && running === 0;
+  }
+
+  /** True when the runner serves the version that the ticket asks for. */
+  serves(ticket: tickets.Ticket): boolean {
+    const {versions} = this.fields;
+    return (
+      ticket.version === '' ||
+      versions.length === 0 ||
+      versions.includes(ticket.version)
+    );
+  }
+
+  /** True when the ticket fits under its tier's ceiling now. */
+  fits(ticket: tickets.Ticket, tokens: number, nowMs: number): boolean {
+    if (!this.isOpen(nowMs) || this.fields.hasSuspect) return false;
+    if (this.fields.running === 0) return true;
+    if (ticket.isSuspect) return false;
+    const ceiling = TIER_CEILING[ticket.tier];
+    const {server, usedTokens, running} = this.fields;
+    const maxRunning = Math.max(1, Math.floor(server.maxRunning * ceiling));
+    return (
+      running < maxRunning && usedTokens + tokens <= server.slotTokens * ceiling
+    );
+  }
+
+  /** The part of the runner that the ticket occupies, in tokens or in places, whichever is larger. */
+  shareOf(ticket: tickets.Ticket): number {
+    const {slotTokens, maxRunning} = this.fields.server;
+    return Math.max(tickets.slotTokens(ticket) / slotTokens, 1 / maxRunning);
+  }
+
+  /** The expected time from dispatch to the end of the ticket's answer, in milliseconds. */
+  expectedMs(ticket: tickets.Ticket): number {
+    const cached = this.fields.cached.cachedTokens(ticket.chain);
+    const prefill = Math.max(0, ticket.promptTokens - cached);
+    return pace.expectedMs(this.fields.pace, prefill, ticket.outputTokens);
+  }
+
+  /** The runner with the ticket in a slot. */
+  occupy(ticket: tickets.Ticket, tokens: number): Runner {
+    const {usedTokens, running, cached, server} = this.fields;
+    const maxBlocks = Math.ceil(server.slotTokens / prefix.BLOCK_TOKENS);
+    return this.with({
+      usedTokens: usedTokens + tokens,
+      running: running + 1,
+      cached: cached.used(ticket.chain, maxBlocks),
+      hasSuspect: this.fields.hasSuspect || ticket.isSuspect,
+    });
+  }
+
+  /** The runner after the ticket gave its slot back. */
+  release(ticket: tickets.Ticket, tokens: number): Runner {
+    const {usedTokens, running, hasSuspect} = this.fields;
+    return this.with({
+      usedTokens: usedTokens - tokens,
+      running: running - 1,
+      hasSuspect: hasSuspect && !ticket.isSuspect,
+    });
+  }
+
+  /** The runner after it learned how a request ended. */
+  observe(outcome: Outcome, nowMs: number): Runner {
+    const handler = OUTCOME_HANDLERS[outcome.kind] as (
+      runner: Runner,
+      outcome: Outcome,
+      nowMs: number,
+    ) => Runner;
+    return handler(this, outcome, nowMs);
+  }
+
+  /** The runner after the list of backend servers or a load report told its state. */
+  signalled(isLeaving: boolean): Runner {
+    if (isLeaving) return this.with({state: 'leaving'});
+    return this.fields.state === 'leaving' ? this.with({state: 'live'}) : this;
+  }
+
+  /** The runner with a new configuration entry and set of versions. */
+  configured(
+    server: config.BackendServer,
+    versions: readonly string[],
+  ): Runner {
+    return this.with({server, versions});
+  }
+
+  private with(change: Partial<RunnerFields>): Runner {
+    return new Runner({...this.fields, ...change});
+  }
+
+  /** Marks the runner down until a backoff has passed. */
+  failed(nowMs: number): Runner {
+    const failures = this.fields.failures + 1;
+    const backoffMs = Math.min(
+      MAX_BACKOFF_MS,
+      FIRST_BACKOFF_MS * 2 ** (failures - 1),
+    );
+    const state = this.fields.state === 'leaving' ? 'leaving' : 'down';
+    return this.with({
+      state,
+      failures,
+      retryAtMs: nowMs + backoffMs,
+      cached: prefix.PrefixGuess.empty,
+    });
+  }
+
+  /** The runner after a request completed on it. */
+  succeeded(measured: pace.Measured): Runner {
+    return this.with({
+      state: this.fields.state === 'leaving' ? 'leaving' : 'live',
+      failures: 0,
+      pace: pace.learn(this.fields.pace, measured),
+    });
+  }
+}
+
+const OUTCOME_HANDLERS: OutcomeHandlers = {
+  completed: (runner, outcome) => runner.succeeded(outcome.measured),
+  cancelled: runner => runner,
+  'not-admitted': (runner, outcome, nowMs) =>
+    outcome.isLeaving ? runner.signalled(true) : runner.failed(nowMs),
+  unreachable: (runner, _, nowMs) => runner.failed(nowMs),
+  crashed: (runner, _, nowMs) => runner.failed(nowMs),
+  failed: runner => runner,
+};
--- /dev/null
+++ b/packages/decisions/src/suspects.ts
@@ -0,0 +1,74 @@
+/** How many crashes a request may be present at before it is refused. */
+export const CRASHES_TO_REFUSE = 2;
+
+/** How long a fingerprint stays on record after its last crash, in milliseconds. */
+export const SUSPECT_KEEP_MS = 3_600_000;
+
+/** A crash of one backend server, with the fingerprints of the requests that were in flight on it. */
+export interface Crash {
+  readonly crashId: string;
+  readonly atMs: number;
+  readonly fingerprints: readonly string[];
+}
+
+/** How a request is to be treated. */
+export type Standing = 'clear' | 'suspect' | 'refused';
+
+/**
+ * Fingerprints of requests that were in flight when backend servers crashed.
+ * Merging is commutative and idempotent, so hosts may exchange crashes in
+ * any order and any number of times. A fingerprint that completed since its
+ * last crash is clear again: that is how bystanders are released.
+ */
+export class Suspects {
+  private constructor(
+    private readonly crashes: ReadonlyMap<string, Crash>,
+    private readonly completedMs: ReadonlyMap<string, number>,
+  ) {}
+
+  /** No crash was seen. */
+  static readonly empty = new Suspects(new Map(), new Map());
+
+  /** Adds a crash; one that is known already changes nothing. */
+  add(crash: Crash): Suspects {
+    if (this.crashes.has(crash.crashId)) return this;
+    const crashes = new Map(this.crashes).set(crash.crashId, crash);
+    return new Suspects(crashes, this.completedMs);
+  }
+
+  /** Records that a request with this fingerprint ran to its end. */
+  complete(fingerprint: string, atMs: number): Suspects {
+    const known = this.completedMs.get(fingerprint) ?? -Infinity;
+    if (atMs <= known || this.crashesOf(fingerprint).length === 0) return this;
+    const completedMs = new Map(this.completedMs).set(fingerprint, atMs);
+    return new Suspects(this.crashes, completedMs);
+  }
+
+  /** Drops what is older than `SUSPECT_KEEP_MS`. */
+  expire(nowMs: number): Suspects {
+    const oldestMs = nowMs - SUSPECT_KEEP_MS;
+    if ([...this.crashes.values()].every(c => c.atMs >= oldestMs)) return this;
+    const crashes = [...this.crashes].filter(([, c]) => c.atMs >= oldestMs);
+    const completed = [...this.completedMs].filter(([, ms]) => ms >= oldestMs);
+    return new Suspects(new Map(crashes), new Map(completed));
+  }
+
+  /** How a request with this fingerprint is to be treated. */
+  standing(fingerprint: string): Standing {
+    const since = this.completedMs.get(fingerprint) ?? -Infinity;
+    const count = this.crashesOf(fingerprint).filter(
+      crash => crash.atMs > since,
+    ).length;
+    if (count >= CRASHES_TO_REFUSE) return 'refused';
+    return count > 0 ? 'suspect' : 'clear';
+  }
+
+  /** All crashes on record, for a host that joins. */
+  list(): readonly Crash[] {
+    return [...this.crashes.values()];
+  }
+
+  private crashesOf(fingerprint: string): readonly Crash[] {
+    return this.list().filter(c => c.fingerprints.includes(fingerprint));
+  }
+}
--- /dev/null
+++ b/packages/decisions/src/ticket.ts
@@ -0,0 +1,31 @@
+import type * as config from './config.js';
+
+/** A request that asks a cell for a slot; times are on the clock of the cell's keeper. */
+export interface Ticket {
+  readonly id: string;
+  readonly host: string;
+  readonly account: string;
+  readonly weight: number;
+  readonly tier: config.Tier;
+  readonly deadlineMs: number;
+  readonly arrivedMs: number;
+  readonly promptTokens: number;
+  readonly outputTokens: number;
+  /** Hashes of the leading blocks of the prompt. */
+  readonly chain: readonly number[];
+  /** The version to be reached; empty means any. */
+  readonly version: string;
+  readonly isSuspect: boolean;
+}
+
+/** A ticket that holds a slot on a runner. */
+export interface Running {
+  readonly ticket: Ticket;
+  readonly runner: string;
+  readonly grantedMs: number;
+}
+
+/** The tokens that a ticket occupies on a runner while it runs. */
+export function slotTokens(ticket: Ticket): number {
+  return ticket.promptTokens + ticket.outputTokens;
+}
--- /dev/null
+++ b/packages/peers/src/index.ts
@@ -0,0 +1,2 @@
+export * as links from './links.js';
+export * as messages from './messages.js';
--- /dev/null
+++ b/prettier.config.js
@@ -0,0 +1,3 @@
+import base from 'gts/.prettierrc.json' with {type: 'json'};
+
+export default base;
