--- a/packages/backends/src/engine.ts
+++ b/packages/backends/src/engine.ts
@@ -25,6 +25,8 @@
   | 'broken'
   /** The backend server answered with an error. */
   | 'failed'
+  /** The backend server went away after the request may have been sent. */
+  | 'gone'
   /** The stream to resume is not known there. */
   | 'unknown-stream';
 
--- a/packages/callers/src/chat.ts
+++ b/packages/callers/src/chat.ts
@@ -1,5 +1,3 @@
-import * as events from 'node:events';
-
 import * as decisions from '@banyanhall/decisions';
 import type Koa from 'koa';
 
@@ -102,14 +100,11 @@
   }
 }
 
-async function drained(res: Koa.Context['res']): Promise<void> {
-  const closed = new AbortController();
-  const onClose = () => closed.abort();
-  res.once('close', onClose);
-  await events
-    .once(res, 'drain', {signal: closed.signal})
-    .catch(() => undefined);
-  res.off('close', onClose);
+function drained(res: Koa.Context['res']): Promise<void> {
+  return new Promise(resolve => {
+    res.once('drain', resolve);
+    res.once('close', resolve);
+  });
 }
 
 function start(ctx: Koa.Context): void {
--- a/packages/callers/src/parse.ts
+++ b/packages/callers/src/parse.ts
@@ -77,7 +77,7 @@
   if (scheme.toLowerCase() !== 'bearer' || !key) {
     return refuse('unauthorized', 'a bearer key is needed');
   }
-  return sha256(key);
+  return crypto.createHash('sha256').update(key).digest('hex');
 }
 
 /** The request key of the caller, empty when there is none. */
@@ -90,7 +90,7 @@
   );
 }
 
-/** The SHA-256 digest of the parts of a request, in hex. */
+/** The SHA-256 digest of the parts of a request, in hex; parts can't run into each other. */
 export function sha256(...parts: readonly string[]): string {
   const hash = crypto.createHash('sha256');
   for (const part of parts) hash.update(part).update('\0');
--- /dev/null
+++ b/packages/daemon/src/chat.ts
@@ -0,0 +1,405 @@
+import * as backends from '@banyanhall/backends';
+import * as callers from '@banyanhall/callers';
+import * as decisions from '@banyanhall/decisions';
+
+import type * as claimsModule from './claims.js';
+import type * as crashesModule from './crashes.js';
+import type * as dispatcherModule from './dispatcher.js';
+import * as limits from './limits.js';
+import * as requestsModule from './requests.js';
+import type * as routers from './router.js';
+import type * as samples from './samples.js';
+import type * as slotsModule from './slots.js';
+import * as streams from './stream.js';
+import type * as timelines from './timeline.js';
+
+/** How long a stream runs on after its caller's connection broke, in milliseconds, so that it can be resumed. */
+const RESUME_GRACE_MS = 3000;
+
+/** What chat requests need from the rest of the host. */
+export interface ChatOptions {
+  readonly host: string;
+  readonly backends: backends.client.BackendClient;
+  readonly requests: requestsModule.Requests;
+  readonly dispatcher: dispatcherModule.Dispatcher;
+  readonly slots: slotsModule.Slots;
+  readonly claims: claimsModule.Claims;
+  readonly crashes: crashesModule.Crashes;
+  readonly samples: samples.Samples;
+  readonly timeline: timelines.Timeline;
+  readonly clock: decisions.clock.Clock;
+  readonly router: routers.Router;
+  readonly seal: callers.position.PositionSeal;
+  readonly config: () => decisions.config.Config;
+}
+
+/** A stream that is being passed on to a caller. */
+interface Session {
+  readonly requestId: string;
+  readonly account: string;
+  readonly server: decisions.config.BackendServer;
+  readonly position: Omit<callers.position.Position, 'offset'>;
+  readonly signal: AbortSignal;
+  readonly events: AsyncIterator<backends.engine.EngineEvent>;
+  readonly first: IteratorResult<backends.engine.EngineEvent>;
+  readonly startedMs: number;
+  readonly onEnd: (end: End) => void;
+  readonly onBreak: (
+    error: backends.engine.BackendError,
+  ) => decisions.verdict.FailureError;
+  /** Lets go of everything that is held for the stream. */
+  readonly release: () => void;
+}
+
+interface End {
+  readonly text: string;
+  readonly firstTokenMs: number;
+  readonly durationMs: number;
+  readonly usage: backends.engine.Usage;
+}
+
+/** Whether another host, or a later connection to this one, has taken a stream over. */
+interface ActiveState {
+  isDetached: boolean;
+}
+
+/** Serves chat requests, new ones and resumed ones. */
+export class ChatService {
+  private readonly lingering = new Map<string, () => void>();
+  private readonly active = new Map<string, ActiveState>();
+
+  constructor(private readonly options: ChatOptions) {}
+
+  /** Streams that wait for their caller to come back. */
+  get lingeringCount(): number {
+    return this.lingering.size;
+  }
+
+  /** Serves one request; throws FailureError before the answer begins. */
+  async chat(
+    call: callers.gateway.ChatCall,
+  ): Promise<callers.gateway.ChatAnswer> {
+    if (call.lastEventId !== '') return this.resume(call);
+    const preparation = await this.options.requests.prepare({
+      ...call,
+      kind: 'model',
+      content: contentOf(call.messages),
+      outputTokens: call.maxTokens,
+    });
+    if (preparation.kind === 'replayed') return replay(preparation.receipt);
+    const {request} = preparation;
+    const account = request.terms.account.name;
+    const leaveAccount = this.options.requests.enter(account);
+    const finish = () => {
+      leaveAccount();
+      request.clear();
+    };
+    try {
+      return await this.start(call, request, finish);
+    } catch (error) {
+      finish();
+      throw error;
+    }
+  }
+
+  /** Another host has taken a stream over: let go of it without cancelling it. */
+  onDetach(streamId: string): void {
+    this.options.slots.forget(streamId);
+    this.takenOver(streamId);
+  }
+
+  private takenOver(streamId: string): void {
+    const active = this.active.get(streamId);
+    if (active) active.isDetached = true;
+    this.lingering.get(streamId)?.();
+  }
+
+  private async start(
+    call: callers.gateway.ChatCall,
+    request: dispatcherModule.Prepared,
+    finish: () => void,
+  ): Promise<callers.gateway.ChatAnswer> {
+    const {requestId, terms, wanted} = request;
+    const {clock, dispatcher} = this.options;
+    const sent = await dispatcher.run(request, async (grant, version) => {
+      const events = streams.read(this.options.backends, {
+        url: grant.server.url,
+        streamId: requestId,
+        signal: request.signal,
+        offset: 0,
+        request: {
+          streamId: requestId,
+          model: `${terms.service.name}@${version}`,
+          messages: call.messages,
+          maxTokens: call.maxTokens,
+        },
+        onResume: offset => this.noteResume(requestId, offset),
+      });
+      return {events, first: await events.next()};
+    });
+    if (sent.kind === 'replayed') return replay(sent.receipt);
+    const {grant, leave, version} = sent;
+    const leftMs = wanted.deadlineMs - clock.monotonicMs();
+    return this.answer({
+      requestId,
+      account: terms.account.name,
+      server: grant.server,
+      position: {
+        host: this.options.host,
+        service: terms.service.name,
+        backendServer: grant.server.name,
+        streamId: requestId,
+        deadlineMs: Math.round(clock.nowMs() + leftMs),
+        startedMs: Math.round(clock.nowMs()),
+        promptTokens: wanted.promptTokens,
+        outputTokens: wanted.outputTokens,
+        tier: wanted.tier,
+      },
+      signal: request.signal,
+      ...sent.value,
+      startedMs: sent.dispatchedMs,
+      onEnd: end => {
+        this.ended(grant, end);
+        this.options.crashes.completed(request.fingerprint);
+        this.options.samples.add(request, version, shownBy(end));
+        if (sent.claim) void this.storeAnswer(sent.claim, end.text);
+      },
+      onBreak: error => {
+        this.options.samples.add(request, version, BROKEN);
+        return dispatcher.failed(request, grant, leave, error);
+      },
+      release: () => {
+        leave();
+        finish();
+      },
+    });
+  }
+
+  private async resume(
+    call: callers.gateway.ChatCall,
+  ): Promise<callers.gateway.ChatAnswer> {
+    const {seal, slots, router, requests, clock} = this.options;
+    const account = requests.account(call.keySha256);
+    const position = seal.open(call.lastEventId, account.name);
+    if (!position) requestsModule.refuse('invalid-request', 'no such event');
+    const service = this.options.config().get('service', position.service);
+    const server = service?.backendServers.find(
+      candidate => candidate.name === position.backendServer,
+    );
+    if (!service || !server) throw lostStream();
+    const {streamId, offset} = position;
+    const {host} = this.options;
+    if (position.host !== host) {
+      router.send(position.host, {kind: 'detach', body: {streamId}});
+    } else this.takenOver(streamId);
+    const leftMs = position.deadlineMs - clock.nowMs();
+    const limited = limits.limit(call.signal, Math.max(0, leftMs));
+    const leaveAccount = requests.enter(account.name);
+    const release = () => {
+      leaveAccount();
+      limited.clear();
+    };
+    const deadlineMs = clock.monotonicMs() + leftMs;
+    const {tier, promptTokens, outputTokens} = position;
+    const wanted: slotsModule.Wanted = {
+      ...{requestId: streamId, service, account, tier, deadlineMs},
+      ...{promptTokens, outputTokens, chain: [], version: ''},
+      isSuspect: false,
+    };
+    slots.adopt(wanted, server);
+    const grant = {ticketId: streamId, server};
+    const events = streams.read(this.options.backends, {
+      url: server.url,
+      streamId,
+      signal: limited.signal,
+      offset,
+      onResume: at => this.noteResume(streamId, at),
+    });
+    this.noteResume(streamId, offset);
+    try {
+      const first = await events.next();
+      return this.answer({
+        requestId: streamId,
+        account: account.name,
+        server,
+        position: {...position, host},
+        signal: limited.signal,
+        events,
+        first,
+        startedMs: clock.monotonicMs(),
+        onEnd: () => slots.done(streamId, {kind: 'cancelled'}),
+        onBreak: error => this.resumeBroke(grant, limited.signal, error),
+        release,
+      });
+    } catch (error) {
+      release();
+      if (!(error instanceof backends.engine.BackendError)) throw error;
+      throw this.resumeBroke(grant, limited.signal, error);
+    }
+  }
+
+  private answer(session: Session): callers.gateway.ChatAnswer {
+    return {
+      id: `chatcmpl-${session.requestId}`,
+      events: this.passOn(session),
+    };
+  }
+
+  /** Passes a stream on to its caller, each part with the position after it. */
+  private async *passOn(
+    session: Session,
+  ): AsyncGenerator<callers.gateway.ChatEvent> {
+    const {seal, timeline, clock} = this.options;
+    const {requestId, account, position, startedMs} = session;
+    let offset = 0;
+    let text = '';
+    let firstTokenMs = 0;
+    let isOver = false;
+    const state: ActiveState = {isDetached: false};
+    this.active.set(requestId, state);
+    try {
+      for (
+        let next = session.first;
+        !next.done;
+        next = await session.events.next()
+      ) {
+        const event = next.value;
+        if (event.kind === 'part') {
+          if (firstTokenMs === 0) {
+            firstTokenMs = clock.monotonicMs() - startedMs;
+            timeline.record('first-token', requestId, {firstTokenMs});
+          }
+          offset = event.offset + event.text.length;
+          text += event.text;
+          const eventId = seal.seal({...position, offset}, account);
+          yield {kind: 'part', eventId, text: event.text};
+          continue;
+        }
+        isOver = true;
+        const durationMs = clock.monotonicMs() - startedMs;
+        const {usage, finishReason, length} = event;
+        session.onEnd({text, firstTokenMs, durationMs, usage});
+        session.release();
+        timeline.record('answered', requestId, {length, durationMs});
+        const eventId = seal.seal({...position, offset: length}, account);
+        const {promptTokens, outputTokens} = usage;
+        yield {kind: 'end', eventId, finishReason, promptTokens, outputTokens};
+      }
+    } catch (error) {
+      if (!(error instanceof backends.engine.BackendError)) throw error;
+      if (isCallerGone(session.signal)) {
+        throw new decisions.verdict.FailureError(
+          limits.abortFailure(session.signal, 'may-have-run'),
+        );
+      }
+      isOver = true;
+      void this.options.backends.cancel(session.server.url, requestId);
+      session.release();
+      throw session.onBreak(error);
+    } finally {
+      if (this.active.get(requestId) === state) this.active.delete(requestId);
+      if (state.isDetached) session.release();
+      else if (!isOver) this.linger(session, offset > 0);
+    }
+  }
+
+  /** The caller's connection broke: the stream runs on for a while, then it is cancelled. */
+  private linger(session: Session, canResume: boolean): void {
+    const {requestId, server} = session;
+    void session.events.return?.();
+    const letGo = () => {
+      clearTimeout(timer);
+      this.lingering.delete(requestId);
+      session.release();
+    };
+    const end = () => {
+      letGo();
+      this.options.timeline.record('broken', requestId, {why: 'caller left'});
+      this.options.slots.done(requestId, {kind: 'cancelled'});
+      void this.options.backends.cancel(server.url, requestId);
+    };
+    const timer = setTimeout(end, canResume ? RESUME_GRACE_MS : 0);
+    this.lingering.set(requestId, letGo);
+  }
+
+  private ended(grant: slotsModule.Grant, end: End): void {
+    const {usage, firstTokenMs, durationMs} = end;
+    this.options.slots.done(grant.ticketId, {
+      kind: 'completed',
+      measured: {
+        prefillTokens: Math.max(0, usage.promptTokens - usage.cachedTokens),
+        outputTokens: usage.outputTokens,
+        firstTokenMs,
+        durationMs,
+      },
+    });
+  }
+
+  private async storeAnswer(
+    claim: claimsModule.Claim,
+    body: string,
+  ): Promise<void> {
+    const receipt = {status: 200, contentType: 'text/plain', body};
+    await this.options.claims.answer(claim, receipt);
+  }
+
+  private resumeBroke(
+    grant: slotsModule.Grant,
+    signal: AbortSignal,
+    error: backends.engine.BackendError,
+  ): decisions.verdict.FailureError {
+    const {slots, timeline} = this.options;
+    timeline.record('broken', grant.ticketId, {why: error.message});
+    slots.done(grant.ticketId, {kind: 'cancelled'});
+    if (!signal.aborted) return lostStream();
+    return new decisions.verdict.FailureError(
+      limits.abortFailure(signal, 'may-have-run'),
+    );
+  }
+
+  private noteResume(requestId: string, offset: number): void {
+    this.options.timeline.record('resumed', requestId, {offset});
+  }
+}
+
+const BROKEN: samples.Shown = {isFailure: true, firstTokenMs: 0, tokenMs: 0};
+
+function shownBy(end: End): samples.Shown {
+  const {firstTokenMs, durationMs, usage} = end;
+  const decodeMs = durationMs - firstTokenMs;
+  const tokenMs = usage.outputTokens > 1 ? decodeMs / usage.outputTokens : 0;
+  return {isFailure: false, firstTokenMs, tokenMs};
+}
+
+function isCallerGone(signal: AbortSignal): boolean {
+  const isDeadline = signal.reason instanceof decisions.verdict.FailureError;
+  return signal.aborted && !isDeadline;
+}
+
+function lostStream(): decisions.verdict.FailureError {
+  return new decisions.verdict.FailureError(
+    decisions.verdict.failure(
+      'resume-refused',
+      'the answer can no longer be resumed; the request may have run',
+      'may-have-run',
+    ),
+  );
+}
+
+function contentOf(messages: readonly unknown[]): string {
+  return messages
+    .map(message => {
+      const content = (message as {readonly content?: unknown})?.content;
+      return typeof content === 'string' ? content : JSON.stringify(message);
+    })
+    .join('\n');
+}
+
+function replay(receipt: decisions.claim.Receipt): callers.gateway.ChatAnswer {
+  async function* events(): AsyncGenerator<callers.gateway.ChatEvent> {
+    yield {kind: 'part', eventId: '', text: receipt.body};
+    const usage = {promptTokens: 0, outputTokens: 0};
+    yield {kind: 'end', eventId: '', finishReason: 'stop', ...usage};
+  }
+  return {id: 'chatcmpl-replay', events: events()};
+}
--- /dev/null
+++ b/packages/daemon/src/crashes.ts
@@ -0,0 +1,127 @@
+import * as decisions from '@banyanhall/decisions';
+import type * as peers from '@banyanhall/peers';
+
+import type * as routers from './router.js';
+import type * as timelines from './timeline.js';
+
+const EXPIRE_EVERY_MS = 60_000;
+
+/** What `Crashes` needs from the rest of the host. */
+export interface CrashesOptions {
+  readonly host: string;
+  readonly clock: decisions.clock.Clock;
+  readonly router: routers.Router;
+  readonly timeline: timelines.Timeline;
+  readonly targets: (except: string) => readonly string[];
+}
+
+/** Which requests were in flight when backend servers crashed, shared with the other hosts. */
+export class Crashes {
+  private suspects = decisions.suspects.Suspects.empty;
+  private readonly inFlight = new Map<string, Map<string, string>>();
+  private readonly lastCrashMs = new Map<string, number>();
+  private timer: NodeJS.Timeout | undefined;
+  private count = 0;
+
+  constructor(private readonly options: CrashesOptions) {}
+
+  /** Starts dropping old records. */
+  start(): void {
+    this.timer = setInterval(() => {
+      const nowMs = this.options.clock.nowMs();
+      this.suspects = this.suspects.expire(nowMs);
+    }, EXPIRE_EVERY_MS);
+  }
+
+  /** Stops the timer. */
+  stop(): void {
+    clearInterval(this.timer);
+  }
+
+  /** The number of crashes on record. */
+  get size(): number {
+    return this.suspects.list().length;
+  }
+
+  /** How a request with this fingerprint is to be treated. */
+  standing(fingerprint: string): decisions.suspects.Standing {
+    return this.suspects.standing(fingerprint);
+  }
+
+  /** Notes that a request is in flight on a backend server; call the result when it no longer is. */
+  enter(server: string, requestId: string, fingerprint: string): () => void {
+    const requests = this.inFlight.get(server) ?? new Map<string, string>();
+    this.inFlight.set(server, requests.set(requestId, fingerprint));
+    return () => requests.delete(requestId);
+  }
+
+  /** A backend server crashed: everything in flight on it is suspect, here and on the other hosts. */
+  crashed(server: string): void {
+    const nowMs = this.options.clock.nowMs();
+    const lastMs = this.lastCrashMs.get(server) ?? -Infinity;
+    if (nowMs - lastMs < decisions.suspects.SAME_CRASH_MS) return;
+    this.lastCrashMs.set(server, nowMs);
+    this.count++;
+    const requests = this.inFlight.get(server)?.values() ?? [];
+    const crash: decisions.suspects.Crash = {
+      crashId: `${this.options.host}/${nowMs}/${this.count}`,
+      backendServer: server,
+      atMs: nowMs,
+      fingerprints: [...new Set(requests)],
+    };
+    this.options.timeline.record('crash', '', {
+      server,
+      requests: crash.fingerprints.length,
+    });
+    this.add([crash], '');
+  }
+
+  /** A request ran to its end: it is cleared of earlier crashes. */
+  completed(fingerprint: string): void {
+    if (this.suspects.standing(fingerprint) === 'clear') return;
+    const atMs = this.options.clock.nowMs();
+    this.suspects = this.suspects.complete(fingerprint, atMs);
+    this.tell({crashes: [], cleared: [{fingerprint, atMs}]}, '');
+  }
+
+  /** Takes in what another host says. */
+  onNews(from: string, news: peers.messages.Messages['news']): void {
+    this.add(news.crashes, from);
+    const before = this.suspects;
+    for (const {fingerprint, atMs} of news.cleared) {
+      this.suspects = this.suspects.complete(fingerprint, atMs);
+    }
+    if (this.suspects !== before) {
+      this.tell({crashes: [], cleared: news.cleared}, from);
+    }
+  }
+
+  /** Tells a host everything on record, for one that has just joined. */
+  tellAll(host: string): void {
+    const cleared = [...this.suspects.completions].map(
+      ([fingerprint, atMs]) => ({fingerprint, atMs}),
+    );
+    const crashes = this.suspects.list();
+    const body = {members: [], crashes, cleared};
+    this.options.router.send(host, {kind: 'news', body});
+  }
+
+  private add(
+    crashes: readonly decisions.suspects.Crash[],
+    from: string,
+  ): void {
+    const before = this.suspects;
+    this.suspects = crashes.reduce((s, crash) => s.add(crash), before);
+    if (this.suspects !== before) this.tell({crashes, cleared: []}, from);
+  }
+
+  private tell(
+    news: Omit<peers.messages.Messages['news'], 'members'>,
+    except: string,
+  ): void {
+    for (const host of this.options.targets(except)) {
+      const body = {members: [], ...news};
+      this.options.router.send(host, {kind: 'news', body});
+    }
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/daemon.ts
@@ -0,0 +1,372 @@
+import * as http from 'node:http';
+import * as https from 'node:https';
+
+import * as backends from '@banyanhall/backends';
+import * as callers from '@banyanhall/callers';
+import * as decisions from '@banyanhall/decisions';
+import * as operators from '@banyanhall/operators';
+import * as peers from '@banyanhall/peers';
+import * as platform from '@banyanhall/platform';
+import type * as consola from 'consola';
+
+import * as chats from './chat.js';
+import * as claimsModule from './claims.js';
+import * as configsModule from './configs.js';
+import * as consoles from './console.js';
+import * as crashesModule from './crashes.js';
+import * as dispatchers from './dispatcher.js';
+import * as drivers from './driver.js';
+import * as keepers from './keeper.js';
+import * as membersModule from './members.js';
+import * as moves from './moves.js';
+import * as plains from './plain.js';
+import * as requestsModule from './requests.js';
+import * as routers from './router.js';
+import type * as settingsModule from './settings.js';
+import * as sharesModule from './shares.js';
+import * as slotsModule from './slots.js';
+import * as telemetry from './telemetry.js';
+import * as timelines from './timeline.js';
+
+const DRAIN_POLL_MS = 100;
+const GAUGE_MS = 1000;
+const BACKLOG = 4096;
+
+/** One host: wires its parts together, starts and stops them. */
+export class Daemon implements callers.gateway.Gateway {
+  private readonly log: consola.ConsolaInstance;
+  private readonly metrics: telemetry.Metrics;
+  private readonly clock = decisions.clock.systemClock;
+  private readonly random: decisions.random.Random;
+  private readonly timeline: timelines.Timeline;
+  private readonly links: peers.links.Links;
+  private readonly router: routers.Router;
+  private readonly backends = new backends.client.BackendClient();
+  private readonly members: membersModule.Members;
+  private readonly configs: configsModule.Configs;
+  private readonly keeper: keepers.Keeper;
+  private readonly slots: slotsModule.Slots;
+  private readonly claims: claimsModule.Claims;
+  private readonly crashes: crashesModule.Crashes;
+  private readonly shares: sharesModule.Shares;
+  private readonly driver: drivers.Driver;
+  private readonly requests: requestsModule.Requests;
+  private readonly chats: chats.ChatService;
+  private readonly plains: plains.PlainService;
+  private readonly store: moves.MoveStore;
+  private readonly servers: http.Server[] = [];
+  private gaugeTimer: NodeJS.Timeout | undefined;
+  private isStarted = false;
+  private isClosed = false;
+  private stopping: Promise<void> | undefined;
+
+  constructor(private readonly settings: settingsModule.Settings) {
+    const {hostId: host, region, zone} = settings;
+    const {clock} = this;
+    this.log = telemetry.logger(settings);
+    this.metrics = telemetry.metrics(settings);
+    this.random = decisions.random.seeded(
+      decisions.rendezvous.hash32(`${host}${clock.nowMs()}`),
+    );
+    this.timeline = new timelines.Timeline(
+      host,
+      settings.timelineLog ? writeEvent : undefined,
+    );
+    const {timeline, random} = this;
+    const store = platform.http.connect(settings.platformUrl);
+    this.links = new peers.links.Links({
+      host,
+      secret: settings.fleetSecret,
+      tls: settings.peerTls,
+      onItem: (from, item) => {
+        this.members.heard(from);
+        this.router.handle(from, item);
+      },
+      onDown: peer => this.linkDown(peer),
+    });
+    this.router = new routers.Router({
+      host,
+      links: this.links,
+      member: name => this.members.get(name),
+    });
+    const {router} = this;
+    const config = () => this.configs.current;
+    const serving = () => this.members.serving;
+    const targets = (except = '') => this.members.targets(except);
+    this.configs = new configsModule.Configs({
+      ...{table: store.table, objects: store.objects, clock, timeline, router},
+      targets,
+      reachesMost: () => this.members.reachesMost,
+      onChange: () => this.configChanged(),
+    });
+    this.members = new membersModule.Members({
+      ...{table: store.table, router, timeline, clock, random},
+      self: selfOf(settings, clock.nowMs()),
+      configNews: () => this.configs.news,
+      onConfigNews: (from, news) => this.configs.onNews(from, news),
+      onChange: () => this.slots.onMembers(),
+      onGone: name => this.hostGone(name),
+      onSilent: name => this.links.drop(name),
+    });
+    const {backends: client} = this;
+    this.keeper = new keepers.Keeper({
+      ...{host, clock, router, timeline, backends: client, config, serving},
+      hostList: store.hosts,
+    });
+    this.slots = new slotsModule.Slots({
+      ...{host, region, zone, clock, router, timeline, config, serving},
+    });
+    this.claims = new claimsModule.Claims(store.table, clock, timeline);
+    this.crashes = new crashesModule.Crashes({
+      ...{host, clock, router, timeline, targets},
+    });
+    this.shares = new sharesModule.Shares({clock, random, router, timeline});
+    this.store = new moves.MoveStore(store.table, clock);
+    const {configs, members, slots, claims, crashes, shares: samples} = this;
+    this.driver = new drivers.Driver({
+      ...{host, clock, store: this.store, configs, members},
+      ...{backends: client, router, timeline},
+    });
+    this.requests = new requestsModule.Requests({
+      ...{host, clock, timeline, claims, crashes, config},
+      isOpen: () => this.isReady,
+    });
+    const dispatcher = new dispatchers.Dispatcher({
+      ...{slots, claims, crashes, timeline, clock},
+      isFresh: () => configs.isFresh,
+      chooseVersion: terms => samples.choose(terms),
+    });
+    const {requests} = this;
+    const serve = {requests, dispatcher, slots, claims, crashes, samples};
+    this.chats = new chats.ChatService({
+      ...serve,
+      ...{host, backends: client, timeline, clock, router, config},
+      seal: new callers.position.PositionSeal(settings.fleetSecret),
+    });
+    this.plains = new plains.PlainService({
+      ...serve,
+      ...{backends: client, timeline, clock},
+    });
+    this.router.connect(this.messageHandlers());
+  }
+
+  /** True when the host takes new work. */
+  get isReady(): boolean {
+    return this.isStarted && !this.isClosed && this.configs.isFresh;
+  }
+
+  /** Starts the host; resolves when callers, operators and other hosts can connect. Rejects when an address is taken. */
+  async start(): Promise<void> {
+    const {settings} = this;
+    await this.links.listen(settings.peerListen);
+    await this.configs.start();
+    await this.members.start();
+    for (const part of this.parts) part.start();
+    this.askForNews();
+    await this.listen(settings.callerListen, callers.app.app(this).callback());
+    const console = new consoles.HostConsole({
+      ...{host: settings.hostId, configs: this.configs, members: this.members},
+      ...{keeper: this.keeper, crashes: this.crashes, store: this.store},
+      timeline: this.timeline,
+      isReady: () => this.isReady,
+    });
+    const operatorApp = operators.app.app(console, settings.operatorKeySha256);
+    await this.listen(settings.operatorListen, operatorApp.callback());
+    this.gaugeTimer = setInterval(() => this.reportGauges(), GAUGE_MS);
+    this.isStarted = true;
+    this.timeline.record('started');
+    this.log.info('started', {
+      callerUrl: settings.callerUrl,
+      configNumber: this.configs.current.number,
+    });
+  }
+
+  /**
+   * Stops without cutting anything off: leaves the address answer, serves on
+   * while callers may still hold an old answer, then waits for the last
+   * request to end. Calling it again changes nothing.
+   */
+  stop(): Promise<void> {
+    this.stopping ??= this.drain();
+    return this.stopping;
+  }
+
+  chat(call: callers.gateway.ChatCall): Promise<callers.gateway.ChatAnswer> {
+    return this.chats.chat(call);
+  }
+
+  plain(call: callers.gateway.PlainCall): Promise<callers.gateway.PlainAnswer> {
+    return this.plains.call(call);
+  }
+
+  /** The hosts that callers may use, those of the own region first. */
+  addresses(): callers.gateway.Addresses {
+    const usable = this.members.serving.filter(member => {
+      const isSelf = member.host === this.settings.hostId;
+      return isSelf ? this.isReady : this.configs.isPeerFresh(member.host);
+    });
+    const shuffled = decisions.random.sample(
+      usable,
+      usable.length,
+      this.random,
+    );
+    const distance = (region: string) =>
+      region === this.settings.region ? 0 : 1;
+    const urls = [...shuffled]
+      .sort((a, b) => distance(a.region) - distance(b.region))
+      .map(member => member.callerUrl);
+    return {urls, keepMs: this.settings.addressKeepMs};
+  }
+
+  ended(failure: decisions.verdict.Failure | undefined): void {
+    this.metrics.ended(failure);
+    if (!failure) return;
+    const {type, verdict} = failure;
+    this.timeline.record('refused', '', {type, verdict});
+    this.log.debug('request failed', {type, verdict});
+  }
+
+  private get parts(): readonly {start(): void; stop(): void}[] {
+    const {keeper, slots, crashes, shares, driver} = this;
+    return [keeper, slots, crashes, shares, driver];
+  }
+
+  private async drain(): Promise<void> {
+    this.timeline.record('stopping');
+    this.log.info('stopping', {inFlight: this.requests.total});
+    this.driver.stop();
+    await this.members.leave();
+    await sleep(this.settings.addressKeepMs);
+    this.isClosed = true;
+    while (this.isBusy) await sleep(DRAIN_POLL_MS);
+    for (const server of this.servers) {
+      server.close();
+      server.closeIdleConnections();
+    }
+    for (const part of this.parts) part.stop();
+    this.members.stop();
+    this.configs.stop();
+    clearInterval(this.gaugeTimer);
+    this.timeline.record('stopped');
+    this.log.info('stopped');
+    this.links.close();
+    this.backends.close();
+    this.metrics.close();
+  }
+
+  private get isBusy(): boolean {
+    return (
+      this.requests.total > 0 ||
+      this.slots.inUse > 0 ||
+      this.chats.lingeringCount > 0
+    );
+  }
+
+  /** Asks a few hosts for changes and for crashes on record. */
+  private askForNews(): void {
+    const afterNumber = this.configs.current.number;
+    for (const host of this.members.targets()) {
+      this.router.send(host, {kind: 'fetchChanges', body: {afterNumber}});
+    }
+  }
+
+  private linkDown(peer: string): void {
+    this.members.linkDown(peer);
+    this.slots.onLinkDown(peer);
+  }
+
+  private hostGone(host: string): void {
+    this.keeper.onGone(host);
+    this.configs.forget(host);
+    this.links.drop(host);
+  }
+
+  private configChanged(): void {
+    this.keeper.onConfig();
+    this.slots.onMembers();
+  }
+
+  private messageHandlers(): routers.MessageHandlers {
+    const {keeper, slots, members, configs, crashes, shares, driver} = this;
+    return {
+      ask: (from, body) => keeper.onAsk(from, body),
+      withdraw: (from, body) => keeper.onWithdraw(from, body),
+      done: (from, body) => keeper.onDone(from, body),
+      hold: (from, body) => keeper.onHold(from, body),
+      grant: (from, body) => slots.onGrant(from, body),
+      refuse: (from, body) => slots.onRefuse(from, body),
+      probe: (from, body) => members.onProbe(from, body),
+      ack: (from, body) => members.onAck(from, body),
+      news: (from, body) => {
+        members.onNews(body.members);
+        crashes.onNews(from, body);
+      },
+      fetchChanges: (from, body) => {
+        crashes.tellAll(from);
+        void this.sendChanges(from, body.afterNumber);
+      },
+      changes: (_, body) => {
+        const changes = body.changes.map(
+          text => JSON.parse(text) as decisions.config.Change,
+        );
+        configs.offer(changes);
+      },
+      detach: (_, body) => this.chats.onDetach(body.streamId),
+      evidence: (from, body) => driver.onEvidence(from, body),
+      share: (from, body) => shares.onShare(from, body),
+    };
+  }
+
+  private async sendChanges(host: string, afterNumber: number): Promise<void> {
+    const changes = await this.configs.changesFor(afterNumber).catch(() => []);
+    if (changes.length === 0) return;
+    const body = {changes: changes.map(change => JSON.stringify(change))};
+    this.router.send(host, {kind: 'changes', body});
+  }
+
+  private listen(
+    address: string,
+    handler: http.RequestListener,
+  ): Promise<void> {
+    const {callerTls} = this.settings;
+    const server = callerTls
+      ? https.createServer(callerTls, handler)
+      : http.createServer(handler);
+    this.servers.push(server);
+    const {hostname, port} = new URL(`http://${address}`);
+    return new Promise((resolve, reject) => {
+      server.once('error', reject);
+      server.listen(Number(port), hostname, BACKLOG, () => resolve());
+    });
+  }
+
+  private reportGauges(): void {
+    const {sentItems, sentBytes} = this.links.traffic;
+    const {commits, rows} = this.claims.counts;
+    this.metrics.gauge('inFlight', this.requests.total);
+    this.metrics.gauge('configNumber', this.configs.current.number);
+    this.metrics.gauge('peerItems', sentItems);
+    this.metrics.gauge('peerBytes', sentBytes);
+    this.metrics.gauge('claimCommits', commits);
+    this.metrics.gauge('claimRows', rows);
+  }
+}
+
+function selfOf(
+  settings: settingsModule.Settings,
+  incarnation: number,
+): decisions.membership.Member {
+  const {hostId: host, region, zone, callerUrl, peerAddress} = settings;
+  return {
+    ...{host, region, zone, callerUrl, peerAddress, incarnation},
+    state: 'serving',
+  };
+}
+
+function writeEvent(event: operators.console.TimelineEvent): void {
+  process.stdout.write(`${JSON.stringify(event)}\n`);
+}
+
+function sleep(ms: number): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, ms));
+}
--- /dev/null
+++ b/packages/daemon/src/driver.ts
@@ -0,0 +1,284 @@
+import type * as backends from '@banyanhall/backends';
+import * as decisions from '@banyanhall/decisions';
+import type * as peers from '@banyanhall/peers';
+
+import type * as configsModule from './configs.js';
+import type * as membersModule from './members.js';
+import type * as moves from './moves.js';
+import type * as routers from './router.js';
+import type * as timelines from './timeline.js';
+
+const DRIVE_MS = 300;
+const SCAN_MS = 1500;
+const SHARE_EVERY_MS = 700;
+
+type Move = decisions.move.Move;
+
+/** What the driver needs from the rest of the host. */
+export interface DriverOptions {
+  readonly host: string;
+  readonly clock: decisions.clock.Clock;
+  readonly store: moves.MoveStore;
+  readonly configs: configsModule.Configs;
+  readonly members: membersModule.Members;
+  readonly backends: backends.client.BackendClient;
+  readonly router: routers.Router;
+  readonly timeline: timelines.Timeline;
+}
+
+interface Driven {
+  stored: moves.StoredMove;
+  evidence: decisions.evidence.Evidence;
+  sharedMs: number;
+  isBusy: boolean;
+}
+
+/** Drives the moves that this host holds the lease of, and takes over those whose driver is gone. */
+export class Driver {
+  private readonly driven = new Map<string, Driven>();
+  private readonly timers: NodeJS.Timeout[] = [];
+
+  constructor(private readonly options: DriverOptions) {}
+
+  /** Starts looking for moves and driving them. */
+  start(): void {
+    this.timers.push(
+      setInterval(() => void this.scan(), SCAN_MS),
+      setInterval(() => this.driveAll(), DRIVE_MS),
+    );
+  }
+
+  /** Stops; another host takes over when the lease has ended. */
+  stop(): void {
+    for (const timer of this.timers) clearInterval(timer);
+  }
+
+  /** Takes in samples from the hosts; badness stops the move at once. */
+  onEvidence(_: string, body: peers.messages.Messages['evidence']): void {
+    const driven = this.driven.get(body.moveId);
+    if (!driven) return;
+    driven.evidence = body.samples.reduce(
+      (evidence, sample) => evidence.add(sample),
+      driven.evidence,
+    );
+    if (driven.evidence.badness) this.sendShares(driven, 0);
+  }
+
+  private get nowMs(): number {
+    return this.options.clock.nowMs();
+  }
+
+  private async scan(): Promise<void> {
+    const all = await this.options.store.latest().catch(() => []);
+    for (const stored of all) {
+      const {move} = stored;
+      if (decisions.move.isFinal(move)) this.driven.delete(move.id);
+      else if (!this.driven.has(move.id)) await this.considerTaking(stored);
+    }
+  }
+
+  private async considerTaking(stored: moves.StoredMove): Promise<void> {
+    const {host, members} = this.options;
+    const hosts = members.serving.map(member => member.host);
+    if (decisions.rendezvous.owner(stored.move.id, hosts) !== host) return;
+    const next = decisions.move.takeOver(stored.move, host, this.nowMs);
+    if (!next) return;
+    const saved = await this.options.store.save(stored, next);
+    if (saved.kind !== 'saved') return;
+    this.note(next);
+    this.driven.set(next.id, {
+      stored: saved.stored,
+      evidence: decisions.evidence.Evidence.none,
+      sharedMs: -Infinity,
+      isBusy: false,
+    });
+  }
+
+  private driveAll(): void {
+    for (const driven of this.driven.values()) {
+      this.keepShares(driven);
+      if (driven.isBusy) continue;
+      driven.isBusy = true;
+      void this.drive(driven)
+        .catch(() => undefined)
+        .finally(() => {
+          driven.isBusy = false;
+        });
+    }
+  }
+
+  private async drive(driven: Driven): Promise<void> {
+    const {host} = this.options;
+    const {move} = driven.stored;
+    if (this.nowMs >= move.driverUntilMs) return this.lose(driven);
+    const facts = await this.facts(move);
+    const next = decisions.move.advance(
+      move,
+      driven.evidence,
+      facts,
+      this.nowMs,
+    );
+    if (next?.phase === 'settle' && move.phase === 'ramp') {
+      return this.settle(driven, next);
+    }
+    const written = next ?? decisions.move.renew(move, host, this.nowMs);
+    if (written) await this.save(driven, written);
+  }
+
+  private async save(driven: Driven, next: Move): Promise<void> {
+    const {move} = driven.stored;
+    const saved = await this.options.store.save(driven.stored, next);
+    if (saved.kind === 'changed') return this.reread(driven);
+    if (saved.kind !== 'saved') return;
+    driven.stored = saved.stored;
+    this.advanced(driven, move, next);
+  }
+
+  /** Makes the new version the service's own, in one transaction with the move. */
+  private async settle(driven: Driven, next: Move): Promise<void> {
+    const {configs, store} = this.options;
+    const config = configs.current;
+    const service = config.get('service', next.service);
+    if (!service) return;
+    const result = await configs.append(
+      {
+        changeId: `settle-${next.id}`,
+        author: `move ${next.id}`,
+        expectedNumber: config.number,
+        edits: [
+          {
+            entry: 'service',
+            name: service.name,
+            value: {...service, version: next.to},
+          },
+        ],
+      },
+      number => ({
+        conditions: [
+          {key: store.keyOf(next.service), version: driven.stored.version},
+        ],
+        writes: store.writes({...next, settledNumber: number}),
+      }),
+    );
+    if (result.kind === 'conflict') await configs.sync();
+    await this.reread(driven);
+  }
+
+  private async reread(driven: Driven): Promise<void> {
+    const {id} = driven.stored.move;
+    const all = await this.options.store.latest();
+    const found = all.find(({move}) => move.id === id);
+    if (!found || found.move.driver !== this.options.host) {
+      return this.lose(driven);
+    }
+    const before = driven.stored.move;
+    driven.stored = found;
+    this.advanced(driven, before, found.move);
+  }
+
+  private lose(driven: Driven): void {
+    this.driven.delete(driven.stored.move.id);
+  }
+
+  private advanced(driven: Driven, before: Move, next: Move): void {
+    const isSame = before.phase === next.phase && before.step === next.step;
+    if (isSame) return;
+    driven.evidence = driven.evidence.nextStep();
+    this.note(next);
+    this.sendShares(driven, decisions.move.share(next));
+  }
+
+  private note(move: Move): void {
+    const {id, phase, step, fence, reason} = move;
+    this.options.timeline.record('move', '', {id, phase, step, fence, reason});
+  }
+
+  private keepShares(driven: Driven): void {
+    const sinceMs = this.options.clock.monotonicMs() - driven.sharedMs;
+    if (sinceMs < SHARE_EVERY_MS || driven.evidence.badness) return;
+    this.sendShares(driven, decisions.move.share(driven.stored.move));
+  }
+
+  /** Leases a share to every host, never for longer than the driver's own lease. */
+  private sendShares(driven: Driven, share: number): void {
+    const {host, members, router, clock} = this.options;
+    const {id, service, to, fence, driverUntilMs} = driven.stored.move;
+    const leftMs = driverUntilMs - this.nowMs;
+    const ttlMs = Math.min(decisions.move.SHARE_TTL_MS, Math.floor(leftMs));
+    if (ttlMs <= 0) return;
+    driven.sharedMs = clock.monotonicMs();
+    const body = {moveId: id, service, to, fence, share, ttlMs, driver: host};
+    for (const member of members.view.members) {
+      router.send(member.host, {kind: 'share', body});
+    }
+  }
+
+  private async facts(move: Move): Promise<decisions.move.Facts> {
+    const both = [move.from, move.to];
+    const needed: Readonly<
+      Record<decisions.move.Phase, () => Promise<boolean>>
+    > = {
+      prepare: () => this.haveVersions(move, both),
+      ramp: () => this.haveVersions(move, both),
+      settle: () => this.settled(move),
+      'taking-back': () => this.haveVersions(move, [move.from]),
+      finished: () => Promise.resolve(true),
+      'taken-back': () => Promise.resolve(true),
+    };
+    const isDone = await needed[move.phase]();
+    return {
+      serversReady: move.phase === 'prepare' && isDone,
+      serversRestored: move.phase === 'taking-back' && isDone,
+      isSettled: move.phase === 'settle' && isDone,
+    };
+  }
+
+  private async settled(move: Move): Promise<boolean> {
+    const {members, configs, host} = this.options;
+    const others = members.view.members.filter(m => m.host !== host);
+    const behind = others.filter(
+      member => configs.numberOf(member.host) < move.settledNumber,
+    );
+    if (configs.current.number < move.settledNumber) return false;
+    if (behind.length === 0) return this.haveVersions(move, [move.to]);
+    members.probeAll();
+    return false;
+  }
+
+  /** Brings every backend server to exactly these versions; true when all that answer have them. */
+  private async haveVersions(
+    move: Move,
+    versions: readonly string[],
+  ): Promise<boolean> {
+    const service = this.options.configs.current.get('service', move.service);
+    const servers = service?.backendServers ?? [];
+    const states = await Promise.all(
+      servers.map(server => this.reconcile(move, server.url, versions)),
+    );
+    const hasAny = states.includes('has');
+    return hasAny && !states.includes('has-not');
+  }
+
+  /** Reads a server's versions back and orders them only when they differ and the lease still holds. */
+  private async reconcile(
+    move: Move,
+    url: string,
+    versions: readonly string[],
+  ): Promise<'has' | 'has-not' | 'no-answer'> {
+    const {backends: client} = this.options;
+    try {
+      const found = await client.versions(url);
+      if (isSameSet(found.versions, versions)) return 'has';
+      if (this.nowMs >= move.driverUntilMs) return 'has-not';
+      const order = {fence: move.fence, versions};
+      const after = await client.orderVersions(url, order);
+      return isSameSet(after.versions, versions) ? 'has' : 'has-not';
+    } catch {
+      return 'no-answer';
+    }
+  }
+}
+
+function isSameSet(a: readonly string[], b: readonly string[]): boolean {
+  return a.length === b.length && a.every(version => b.includes(version));
+}
--- /dev/null
+++ b/packages/daemon/src/index.ts
@@ -0,0 +1,2 @@
+export * as daemon from './daemon.js';
+export * as settings from './settings.js';
--- /dev/null
+++ b/packages/daemon/src/keeper.ts
@@ -0,0 +1,274 @@
+import type * as backends from '@banyanhall/backends';
+import * as decisions from '@banyanhall/decisions';
+import type * as operators from '@banyanhall/operators';
+import type * as peers from '@banyanhall/peers';
+import type * as platform from '@banyanhall/platform';
+
+import type * as routers from './router.js';
+import type * as timelines from './timeline.js';
+
+const TICK_MS = 50;
+const POLL_MS = 1000;
+const KEEP_UNOWNED_MS = 5000;
+
+type Cell = decisions.cell.Cell;
+
+interface Kept {
+  cell: Cell;
+  unownedSinceMs: number | undefined;
+}
+
+/** What the keeper needs from the rest of the host. */
+export interface KeeperOptions {
+  readonly host: string;
+  readonly clock: decisions.clock.Clock;
+  readonly router: routers.Router;
+  readonly timeline: timelines.Timeline;
+  readonly backends: backends.client.BackendClient;
+  readonly hostList: platform.table.HostList;
+  readonly config: () => decisions.config.Config;
+  readonly serving: () => readonly decisions.membership.Member[];
+}
+
+type EffectHandlers = {
+  readonly [K in decisions.cell.CellEffect['kind']]: (
+    name: string,
+    effect: Extract<decisions.cell.CellEffect, {kind: K}>,
+    waitMs: number,
+  ) => void;
+};
+
+/** The cells that this host keeps: feeds them events and carries out what they want done. */
+export class Keeper {
+  private readonly cells = new Map<string, Kept>();
+  private readonly timers: NodeJS.Timeout[] = [];
+  private listedLeaving: ReadonlySet<string> = new Set();
+
+  private readonly effects: EffectHandlers = {
+    grant: (cell, {ticket, server}, waitMs) =>
+      this.options.router.send(ticket.host, {
+        kind: 'grant',
+        body: {cell, ticketId: ticket.id, runner: server.name, waitMs},
+      }),
+    refuse: (cell, {ticket, reason, retryAfterMs}, waitMs) =>
+      this.options.router.send(ticket.host, {
+        kind: 'refuse',
+        body: {cell, ticketId: ticket.id, reason, retryAfterMs, waitMs},
+      }),
+  };
+
+  constructor(private readonly options: KeeperOptions) {}
+
+  /** Starts the timers for deadlines and load reports. */
+  start(): void {
+    this.timers.push(
+      setInterval(() => this.tick(), TICK_MS),
+      setInterval(() => void this.poll(), POLL_MS),
+    );
+  }
+
+  /** Stops the timers. */
+  stop(): void {
+    for (const timer of this.timers) clearInterval(timer);
+  }
+
+  /** Takes in a request for a slot. */
+  onAsk(from: string, ask: peers.messages.Messages['ask']): void {
+    const ticket = this.ticketOf(from, ask.ticket);
+    this.apply(ask.cell, {kind: 'ask', ticket});
+  }
+
+  /** Takes a waiting ticket, or its unused slot, back. */
+  onWithdraw(_: string, body: peers.messages.Messages['withdraw']): void {
+    this.apply(body.cell, {kind: 'cancel', ticketId: body.ticketId});
+  }
+
+  /** Frees a slot and learns how the request ended. */
+  onDone(_: string, done: peers.messages.Messages['done']): void {
+    const outcome = outcomeOf(done);
+    this.apply(done.cell, {kind: 'done', ticketId: done.ticketId, outcome});
+  }
+
+  /** Takes in the slots that a host has in use. */
+  onHold(from: string, hold: peers.messages.Messages['hold']): void {
+    const nowMs = this.options.clock.monotonicMs();
+    const running = hold.held.map(held => ({
+      ticket: this.ticketOf(from, held.ticket),
+      runner: held.runner,
+      grantedMs: nowMs - held.ageMs,
+    }));
+    if (hold.isReport) {
+      this.apply(hold.cell, {kind: 'recover', host: from, running});
+      return;
+    }
+    for (const held of running) this.apply(hold.cell, {kind: 'adopt', held});
+  }
+
+  /** Gives up what a lost host had. */
+  onGone(host: string): void {
+    for (const name of this.cells.keys()) {
+      this.apply(name, {kind: 'host-gone', host});
+    }
+  }
+
+  /** Brings the runners of every kept cell up to date with the configuration. */
+  onConfig(): void {
+    for (const [name, kept] of this.cells) {
+      if (this.serversOf(name).length === 0) this.cells.delete(name);
+      else this.configure(name, kept);
+    }
+  }
+
+  /** The kept cells, for operators. */
+  status(): readonly operators.console.CellStatus[] {
+    return [...this.cells].map(([name, {cell}]) => ({
+      cell: name,
+      keeper: this.options.host,
+      waiting: cell.waiting.length,
+      running: cell.running.length,
+      runners: cell.runners.map(runner => ({
+        name: runner.name,
+        state: runner.state,
+        running: runner.running,
+        decodeTokensPerS: Math.round(runner.pace.decodeTokensPerS),
+      })),
+    }));
+  }
+
+  private apply(name: string, event: decisions.cell.CellEvent): void {
+    const kept = this.kept(name);
+    if (!kept) return this.refuseUnknown(name, event);
+    const nowMs = this.options.clock.monotonicMs();
+    const applied = kept.cell.apply(event, nowMs);
+    kept.cell = applied.cell;
+    if (applied.effects.length === 0) return;
+    const waitMs = Math.ceil(applied.cell.waitMs(nowMs));
+    for (const effect of applied.effects) {
+      const handler = this.effects[effect.kind] as (
+        name: string,
+        effect: decisions.cell.CellEffect,
+        waitMs: number,
+      ) => void;
+      handler(name, effect, waitMs);
+    }
+  }
+
+  /** The cell of that name; it is taken over when it was not kept so far. */
+  private kept(name: string): Kept | undefined {
+    const known = this.cells.get(name);
+    if (known) return known;
+    if (this.serversOf(name).length === 0) return undefined;
+    const hosts = this.options
+      .serving()
+      .map(member => member.host)
+      .filter(host => host !== this.options.host);
+    const nowMs = this.options.clock.monotonicMs();
+    const cell = decisions.cell.Cell.recovering(hosts, nowMs);
+    const kept: Kept = {cell, unownedSinceMs: undefined};
+    this.cells.set(name, kept);
+    this.options.timeline.record('keeper', '', {cell: name});
+    this.configure(name, kept);
+    return kept;
+  }
+
+  private configure(name: string, kept: Kept): void {
+    const event = {
+      kind: 'configure' as const,
+      servers: this.serversOf(name),
+      versionsByServer: new Map(),
+    };
+    const nowMs = this.options.clock.monotonicMs();
+    kept.cell = kept.cell.apply(event, nowMs).cell;
+  }
+
+  private serversOf(name: string): readonly decisions.config.BackendServer[] {
+    const key = decisions.cells.cellKey(name);
+    const service = this.options.config().get('service', key.service);
+    return service ? decisions.cells.serversOf(service, key) : [];
+  }
+
+  private refuseUnknown(name: string, event: decisions.cell.CellEvent): void {
+    if (event.kind !== 'ask') return;
+    const {ticket} = event;
+    const reason = 'no-runner';
+    const refusal = {kind: 'refuse' as const, ticket, reason, retryAfterMs: 0};
+    this.effects.refuse(name, {...refusal, reason}, 0);
+  }
+
+  private ticketOf(
+    host: string,
+    wire: peers.messages.Ticket,
+  ): decisions.ticket.Ticket {
+    const nowMs = this.options.clock.monotonicMs();
+    return {
+      ...wire,
+      host,
+      tier: wire.tier as decisions.config.Tier,
+      deadlineMs: nowMs + wire.remainingMs,
+      arrivedMs: nowMs,
+    };
+  }
+
+  private tick(): void {
+    const nowMs = this.options.clock.monotonicMs();
+    const members = this.options.serving();
+    for (const [name, kept] of this.cells) {
+      const {cell} = kept;
+      if (cell.waiting.length > 0 || cell.running.length > 0) {
+        this.apply(name, {kind: 'tick'});
+      }
+      const key = decisions.cells.cellKey(name);
+      const owner = decisions.cells.keeper(key, members);
+      if (owner === this.options.host) kept.unownedSinceMs = undefined;
+      else kept.unownedSinceMs ??= nowMs;
+      const unownedMs = nowMs - (kept.unownedSinceMs ?? nowMs);
+      if (unownedMs >= KEEP_UNOWNED_MS && kept.cell.waiting.length === 0) {
+        this.cells.delete(name);
+      }
+    }
+  }
+
+  private async poll(): Promise<void> {
+    if (this.cells.size === 0) return;
+    await this.options.hostList.list().then(
+      listed => {
+        const leaving = listed.filter(entry => entry.state === 'leaving');
+        this.listedLeaving = new Set(leaving.map(entry => entry.name));
+      },
+      () => undefined,
+    );
+    for (const [name, {cell}] of this.cells) {
+      for (const {server} of cell.runners) void this.pollServer(name, server);
+    }
+  }
+
+  private async pollServer(
+    cell: string,
+    server: decisions.config.BackendServer,
+  ): Promise<void> {
+    const sign = await this.options.backends.load(server.url).then(
+      report => (report.isLeaving ? ('leaving' as const) : ('live' as const)),
+      (error: backends.engine.BackendError) =>
+        error.kind === 'unreachable' ? ('unreachable' as const) : undefined,
+    );
+    const isListed = this.listedLeaving.has(server.name);
+    const told = isListed ? 'leaving' : sign;
+    if (!told || !this.cells.has(cell)) return;
+    this.apply(cell, {kind: 'signal', runner: server.name, sign: told});
+  }
+}
+
+type OutcomeKind = decisions.runner.Outcome['kind'];
+
+function outcomeOf(
+  done: peers.messages.Messages['done'],
+): decisions.runner.Outcome {
+  const kind = done.outcome as OutcomeKind;
+  if (kind === 'completed') {
+    const {prefillTokens, outputTokens, firstTokenMs, durationMs} = done;
+    const measured = {prefillTokens, outputTokens, firstTokenMs, durationMs};
+    return {kind, measured};
+  }
+  if (kind === 'not-admitted') return {kind, isLeaving: done.isLeaving};
+  return {kind};
+}
--- /dev/null
+++ b/packages/daemon/src/members.ts
@@ -0,0 +1,266 @@
+import * as decisions from '@banyanhall/decisions';
+import type * as peers from '@banyanhall/peers';
+import type * as platform from '@banyanhall/platform';
+
+import type * as routers from './router.js';
+import type * as timelines from './timeline.js';
+
+const PROBE_MS = 500;
+const PROBES_EACH = 2;
+const SILENT_MS = 1200;
+const LEASE_MS = 30_000;
+const RENEW_MS = 10_000;
+const SCAN_MS = 30_000;
+const SCAN_LIMIT = 1000;
+const MIN_SCAN_GAP_MS = 1000;
+const LEASE_PREFIX = 'host/';
+/** Fleets up to this size are told of news directly; larger ones by gossip with this many targets. */
+const FANOUT = 8;
+
+type Member = decisions.membership.Member;
+
+/** A host's row in the table. */
+interface Lease {
+  readonly member: Member;
+  readonly expiresAtMs: number;
+}
+
+/** What a probe or its answer says of the sender's configuration. */
+export interface ConfigNews {
+  readonly configNumber: number;
+  readonly configAgeMs: number;
+}
+
+/** What members tell the rest of the host. */
+export interface MembersOptions {
+  readonly self: Member;
+  readonly table: platform.table.Table;
+  readonly router: routers.Router;
+  readonly timeline: timelines.Timeline;
+  readonly clock: decisions.clock.Clock;
+  readonly random: decisions.random.Random;
+  readonly configNews: () => ConfigNews;
+  readonly onConfigNews: (from: string, news: ConfigNews) => void;
+  readonly onChange: () => void;
+  readonly onGone: (host: string) => void;
+  readonly onSilent: (host: string) => void;
+}
+
+interface Pending {
+  readonly host: string;
+  readonly sentMs: number;
+}
+
+/** Which hosts there are: a lease in the table for joining, probes and gossip between hosts for liveness. */
+export class Members {
+  private membership: decisions.membership.Membership;
+  private readonly pending = new Map<number, Pending>();
+  private readonly recentProbes: boolean[] = [];
+  private readonly heardMs = new Map<string, number>();
+  private readonly timers: NodeJS.Timeout[] = [];
+  private sequence = 0;
+  private lastScanMs = -Infinity;
+
+  constructor(private readonly options: MembersOptions) {
+    this.membership = decisions.membership.Membership.of(options.self);
+  }
+
+  get view(): decisions.membership.Membership {
+    return this.membership;
+  }
+
+  get serving(): readonly Member[] {
+    return this.membership.serving;
+  }
+
+  /** The member of that name, if it is known. */
+  get(host: string): Member | undefined {
+    return this.membership.get(host);
+  }
+
+  /** True when at least half of the latest probes were answered, or there is nobody to probe. */
+  get reachesMost(): boolean {
+    const answered = this.recentProbes.filter(Boolean).length;
+    return answered * 2 >= this.recentProbes.length;
+  }
+
+  /**
+   * Writes the own lease, then reads who is there, so that of two hosts that
+   * start at once one finds the other. Starts probing.
+   */
+  async start(): Promise<void> {
+    await this.renew();
+    await this.scan();
+    this.spread([this.membership.self]);
+    this.timers.push(
+      setInterval(() => this.tick(), PROBE_MS),
+      setInterval(() => void this.renew(), RENEW_MS),
+      setInterval(() => void this.scan(), SCAN_MS),
+    );
+  }
+
+  /** Tells everybody that this host is leaving and ends its lease. */
+  async leave(): Promise<void> {
+    this.merged(this.membership.leave());
+    await this.options.table.commit({
+      conditions: [],
+      writes: [{key: LEASE_PREFIX + this.options.self.host}],
+    });
+  }
+
+  /** Stops probing. */
+  stop(): void {
+    for (const timer of this.timers) clearInterval(timer);
+  }
+
+  /** Notes that a message came from a host; one that is not known is looked up. */
+  heard(host: string): void {
+    this.heardMs.set(host, this.options.clock.monotonicMs());
+    const known = this.membership.get(host);
+    if (!known) return void this.scan();
+    if (known.state === 'dead' || known.state === 'suspect') {
+      this.tell(host, [known]);
+    }
+  }
+
+  /** A link broke: strong evidence that the host is gone; it refutes that if it is not. */
+  linkDown(host: string): void {
+    const known = this.membership.get(host);
+    if (!known || known.state === 'suspect' || known.state === 'dead') return;
+    const report: Member = {...known, state: 'suspect'};
+    this.merged(this.membership.merge(report, this.nowMs));
+    this.probe(host);
+  }
+
+  /** Takes in reports of other hosts. */
+  onNews(reports: readonly peers.messages.Member[]): void {
+    for (const report of reports) {
+      const member = {
+        ...report,
+        state: report.state as decisions.membership.MemberState,
+      };
+      this.merged(this.membership.merge(member, this.nowMs));
+    }
+  }
+
+  /** Answers a probe. */
+  onProbe(from: string, probe: peers.messages.Messages['probe']): void {
+    this.options.onConfigNews(from, probe);
+    this.options.router.send(from, {
+      kind: 'ack',
+      body: {sequence: probe.sequence, ...this.options.configNews()},
+    });
+  }
+
+  /** Takes in the answer to a probe. */
+  onAck(from: string, ack: peers.messages.Messages['ack']): void {
+    if (this.pending.delete(ack.sequence)) this.noteProbe(true);
+    this.options.onConfigNews(from, ack);
+  }
+
+  /** Probes every host now, to learn their configuration numbers. */
+  probeAll(): void {
+    for (const member of this.membership.members.slice(1)) {
+      this.probe(member.host);
+    }
+  }
+
+  /** Sends reports to every host of a small fleet, or to a few of a large one. */
+  spread(news: readonly Member[], except = ''): void {
+    for (const host of this.targets(except)) this.tell(host, news);
+  }
+
+  /** The hosts that news goes to next. */
+  targets(except = ''): readonly string[] {
+    const others = this.membership.members
+      .slice(1)
+      .map(member => member.host)
+      .filter(host => host !== except);
+    return decisions.random.sample(others, FANOUT, this.options.random);
+  }
+
+  private get nowMs(): number {
+    return this.options.clock.monotonicMs();
+  }
+
+  private tell(host: string, news: readonly Member[]): void {
+    this.options.router.send(host, {
+      kind: 'news',
+      body: {members: news, crashes: [], cleared: []},
+    });
+  }
+
+  private tick(): void {
+    const {nowMs} = this;
+    for (const [host, atMs] of this.heardMs) {
+      this.membership = this.membership.heard(host, atMs);
+    }
+    for (const [sequence, {host, sentMs}] of this.pending) {
+      if (nowMs - sentMs < PROBE_MS * 0.9) continue;
+      const isSilent = nowMs - (this.heardMs.get(host) ?? sentMs) >= SILENT_MS;
+      this.merged(this.membership.missed(host, nowMs));
+      if (isSilent) this.options.onSilent(host);
+      this.pending.delete(sequence);
+      this.noteProbe(false);
+    }
+    this.merged(this.membership.tick(nowMs));
+    const others = this.membership.members.slice(1).map(m => m.host);
+    const {random} = this.options;
+    for (const host of decisions.random.sample(others, PROBES_EACH, random)) {
+      this.probe(host);
+    }
+  }
+
+  private probe(host: string): void {
+    this.sequence++;
+    this.pending.set(this.sequence, {host, sentMs: this.nowMs});
+    this.options.router.send(host, {
+      kind: 'probe',
+      body: {sequence: this.sequence, ...this.options.configNews()},
+    });
+  }
+
+  private noteProbe(isAnswered: boolean): void {
+    this.recentProbes.push(isAnswered);
+    if (this.recentProbes.length > FANOUT) this.recentProbes.shift();
+  }
+
+  private merged(merged: decisions.membership.Merged): void {
+    const before = this.membership;
+    this.membership = merged.membership;
+    if (merged.news.length === 0) return;
+    for (const member of merged.news) {
+      const {host, state, incarnation} = member;
+      this.options.timeline.record('member', '', {host, state, incarnation});
+      const wasDead = before.get(host)?.state === 'dead';
+      if (state === 'dead' && !wasDead) this.options.onGone(host);
+    }
+    this.spread(merged.news);
+    this.options.onChange();
+  }
+
+  private async renew(): Promise<void> {
+    const {self} = this.membership;
+    if (self.state === 'leaving') return;
+    const expiresAtMs = this.options.clock.nowMs() + LEASE_MS;
+    const value: Lease = {member: self, expiresAtMs};
+    await this.options.table.commit({
+      conditions: [],
+      writes: [{key: LEASE_PREFIX + self.host, value}],
+    });
+  }
+
+  private async scan(): Promise<void> {
+    if (this.nowMs - this.lastScanMs < MIN_SCAN_GAP_MS) return;
+    this.lastScanMs = this.nowMs;
+    const rows = await this.options.table
+      .scan(LEASE_PREFIX, '', SCAN_LIMIT)
+      .catch(() => []);
+    for (const row of rows) {
+      const lease = row.value as Lease;
+      if (lease.expiresAtMs < this.options.clock.nowMs()) continue;
+      if (this.membership.get(lease.member.host)?.state === 'dead') continue;
+      this.merged(this.membership.merge(lease.member, this.nowMs));
+    }
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/settings.ts
@@ -0,0 +1,304 @@
+import * as fs from 'node:fs';
+import * as net from 'node:net';
+import * as util from 'node:util';
+
+import * as peers from '@banyanhall/peers';
+
+/** Everything that a daemon is told at its start. */
+export interface Settings {
+  readonly hostId: string;
+  readonly region: string;
+  readonly zone: string;
+  readonly callerListen: string;
+  readonly callerUrl: string;
+  readonly operatorListen: string;
+  readonly peerListen: string;
+  readonly peerAddress: string;
+  readonly platformUrl: string;
+  readonly fleetSecret: string;
+  readonly operatorKeySha256: string;
+  readonly addressKeepMs: number;
+  readonly statsd: string;
+  readonly logFormat: 'json' | 'pretty';
+  readonly logLevel: number;
+  readonly timelineLog: boolean;
+  readonly callerTls?: Tls;
+  readonly peerTls?: peers.links.PeerTls;
+}
+
+/** A key and its certificate in PEM form. */
+export interface Tls {
+  readonly cert: Buffer;
+  readonly key: Buffer;
+}
+
+/** The settings, or everything that is wrong with them. */
+export type Parsed =
+  | {readonly kind: 'settings'; readonly settings: Settings}
+  | {readonly kind: 'help'; readonly text: string}
+  | {readonly kind: 'mistakes'; readonly mistakes: readonly string[]};
+
+interface Setting {
+  readonly flag: string;
+  readonly help: string;
+  readonly standard?: string;
+  /** Says what is wrong with a value, if anything is. */
+  readonly check: (value: string) => string | undefined;
+}
+
+const LOG_LEVELS: Readonly<Record<string, number>> = {
+  error: 0,
+  warn: 1,
+  info: 3,
+  debug: 4,
+};
+const ENV_PREFIX = 'BANYANHALL_';
+const MIN_SECRET_CHARS = 16;
+
+function isAddress(value: string): string | undefined {
+  const [, ip, port] = /^(.*):(\d+)$/.exec(value) ?? [];
+  const isGood = ip && net.isIP(ip.replace(/^\[|\]$/g, '')) !== 0;
+  return isGood && Number(port) < 65_536 ? undefined : 'has to be IP:PORT';
+}
+
+function isUrl(value: string): string | undefined {
+  return /^https?:\/\/[^/]+$/.test(value)
+    ? undefined
+    : 'has to be http://IP:PORT or https://IP:PORT';
+}
+
+function isName(value: string): string | undefined {
+  return /^[A-Za-z0-9][A-Za-z0-9._-]*$/.test(value)
+    ? undefined
+    : 'has to be letters, digits, dots and dashes';
+}
+
+function isFile(value: string): string | undefined {
+  return value === '' || fs.existsSync(value) ? undefined : 'is no file';
+}
+
+function isWhole(value: string): string | undefined {
+  return /^\d+$/.test(value) ? undefined : 'has to be a whole number';
+}
+
+function oneOf(...choices: readonly string[]) {
+  return (value: string): string | undefined =>
+    choices.includes(value) ? undefined : `has to be ${choices.join(' or ')}`;
+}
+
+function isOptionalAddress(value: string): string | undefined {
+  return value === '' ? undefined : isAddress(value);
+}
+
+const SETTINGS: readonly Setting[] = [
+  {
+    flag: 'host-id',
+    help: 'name of this host, unique in the fleet',
+    check: isName,
+  },
+  {flag: 'region', help: 'region this host stands in', check: isName},
+  {flag: 'zone', help: 'availability zone this host stands in', check: isName},
+  {
+    flag: 'caller-listen',
+    help: 'IP:PORT for callers',
+    standard: '127.0.0.1:8080',
+    check: isAddress,
+  },
+  {
+    flag: 'caller-url',
+    help: 'URL that callers are told; default: from caller-listen',
+    standard: '',
+    check: value => (value === '' ? undefined : isUrl(value)),
+  },
+  {
+    flag: 'operator-listen',
+    help: 'IP:PORT for operators',
+    standard: '127.0.0.1:8081',
+    check: isAddress,
+  },
+  {
+    flag: 'peer-listen',
+    help: 'IP:PORT for other hosts',
+    standard: '127.0.0.1:8082',
+    check: isAddress,
+  },
+  {
+    flag: 'peer-address',
+    help: 'IP:PORT that other hosts are told; default: peer-listen',
+    standard: '',
+    check: isOptionalAddress,
+  },
+  {
+    flag: 'platform-url',
+    help: "URL of the platform's table service, object store and host list",
+    check: isUrl,
+  },
+  {
+    flag: 'fleet-secret',
+    help: `secret shared by all hosts, ${MIN_SECRET_CHARS} characters or more; better set by its variable`,
+    check: value =>
+      value.length >= MIN_SECRET_CHARS
+        ? undefined
+        : `has to have ${MIN_SECRET_CHARS} characters or more`,
+  },
+  {
+    flag: 'operator-key-sha256',
+    help: "SHA-256 digest of the operators' key, in hex",
+    check: value =>
+      /^[0-9a-f]{64}$/.test(value) ? undefined : 'has to be 64 hex digits',
+  },
+  {
+    flag: 'address-keep-ms',
+    help: 'how long callers may keep an address answer, in milliseconds',
+    standard: '5000',
+    check: isWhole,
+  },
+  {
+    flag: 'statsd',
+    help: 'IP:PORT of a StatsD server; empty for none',
+    standard: '',
+    check: isOptionalAddress,
+  },
+  {
+    flag: 'log-format',
+    help: 'json or pretty',
+    standard: 'json',
+    check: oneOf('json', 'pretty'),
+  },
+  {
+    flag: 'log-level',
+    help: 'error, warn, info or debug',
+    standard: 'info',
+    check: oneOf(...Object.keys(LOG_LEVELS)),
+  },
+  {
+    flag: 'timeline-log',
+    help: 'on writes every time line event to standard output',
+    standard: 'off',
+    check: oneOf('on', 'off'),
+  },
+  {
+    flag: 'tls-cert',
+    help: 'PEM file with the certificate for callers and operators',
+    standard: '',
+    check: isFile,
+  },
+  {
+    flag: 'tls-key',
+    help: 'PEM file with its key',
+    standard: '',
+    check: isFile,
+  },
+  {
+    flag: 'peer-tls-ca',
+    help: 'PEM file with the authority for TLS between hosts',
+    standard: '',
+    check: isFile,
+  },
+  {
+    flag: 'peer-tls-cert',
+    help: 'PEM file with the certificate for other hosts',
+    standard: '',
+    check: isFile,
+  },
+  {
+    flag: 'peer-tls-key',
+    help: 'PEM file with its key',
+    standard: '',
+    check: isFile,
+  },
+];
+
+/** The name of the environment variable of a flag. */
+export function envName(flag: string): string {
+  return ENV_PREFIX + flag.toUpperCase().replaceAll('-', '_');
+}
+
+/** The help text: every setting with its flag, variable and default. */
+export function helpText(): string {
+  const rows = SETTINGS.map(({flag, help, standard}) => {
+    const note = standard ? ` (default ${standard})` : '';
+    return `  --${flag}  ${envName(flag)}\n      ${help}${note}`;
+  });
+  return `banyanhalld: the banyanhall daemon\n\nSettings, as flags or environment variables:\n${rows.join('\n')}\n`;
+}
+
+/** Reads settings from flags and environment variables; flags win. Names every mistake at once. */
+export function parse(
+  args: readonly string[],
+  env: Readonly<Record<string, string | undefined>>,
+): Parsed {
+  if (args.includes('--help')) return {kind: 'help', text: helpText()};
+  const options = Object.fromEntries(
+    SETTINGS.map(({flag}) => [flag, {type: 'string' as const}]),
+  );
+  let flags: Readonly<Record<string, string | boolean | undefined>>;
+  try {
+    flags = util.parseArgs({args: [...args], options}).values;
+  } catch (error) {
+    return {kind: 'mistakes', mistakes: [(error as Error).message]};
+  }
+  const values: Record<string, string> = {};
+  const mistakes: string[] = [];
+  for (const {flag, standard, check} of SETTINGS) {
+    const value = flags[flag] ?? env[envName(flag)] ?? standard;
+    if (value === undefined) {
+      mistakes.push(`--${flag} (${envName(flag)}) is needed`);
+      continue;
+    }
+    const mistake = check(String(value));
+    if (mistake) mistakes.push(`--${flag} (${envName(flag)}) ${mistake}`);
+    values[flag] = String(value);
+  }
+  mistakes.push(...pairMistakes(values));
+  if (mistakes.length > 0) return {kind: 'mistakes', mistakes};
+  return {kind: 'settings', settings: build(values)};
+}
+
+function pairMistakes(
+  values: Readonly<Record<string, string>>,
+): readonly string[] {
+  const groups = [
+    ['tls-cert', 'tls-key'],
+    ['peer-tls-ca', 'peer-tls-cert', 'peer-tls-key'],
+  ];
+  return groups.flatMap(group => {
+    const given = group.filter(flag => values[flag]);
+    const isWhole = given.length === 0 || given.length === group.length;
+    return isWhole ? [] : [`${group.join(', ')} have to be given together`];
+  });
+}
+
+function build(values: Readonly<Record<string, string>>): Settings {
+  const read = (flag: string) => fs.readFileSync(values[flag]);
+  const hasTls = values['tls-cert'] !== '';
+  const scheme = hasTls ? 'https' : 'http';
+  return {
+    hostId: values['host-id'],
+    region: values.region,
+    zone: values.zone,
+    callerListen: values['caller-listen'],
+    callerUrl: values['caller-url'] || `${scheme}://${values['caller-listen']}`,
+    operatorListen: values['operator-listen'],
+    peerListen: values['peer-listen'],
+    peerAddress: values['peer-address'] || values['peer-listen'],
+    platformUrl: values['platform-url'],
+    fleetSecret: values['fleet-secret'],
+    operatorKeySha256: values['operator-key-sha256'],
+    addressKeepMs: Number(values['address-keep-ms']),
+    statsd: values.statsd,
+    logFormat: values['log-format'] as 'json' | 'pretty',
+    logLevel: LOG_LEVELS[values['log-level']],
+    timelineLog: values['timeline-log'] === 'on',
+    callerTls: hasTls
+      ? {cert: read('tls-cert'), key: read('tls-key')}
+      : undefined,
+    peerTls: values['peer-tls-ca']
+      ? {
+          ca: read('peer-tls-ca'),
+          cert: read('peer-tls-cert'),
+          key: read('peer-tls-key'),
+        }
+      : undefined,
+  };
+}
--- /dev/null
+++ b/packages/daemon/src/telemetry.ts
@@ -0,0 +1,68 @@
+import type * as decisions from '@banyanhall/decisions';
+import * as consola from 'consola';
+import * as hotShots from 'hot-shots';
+
+import type * as settingsModule from './settings.js';
+
+const METRIC_PREFIX = 'banyanhall.';
+
+/** Metrics of a host. */
+export interface Metrics {
+  /** A request ended: with an answer, or with a failure. */
+  ended(failure: decisions.verdict.Failure | undefined): void;
+  /** A level, such as the number of requests in flight. */
+  gauge(name: string, value: number): void;
+  close(): void;
+}
+
+const NO_METRICS: Metrics = {
+  ended: () => undefined,
+  gauge: () => undefined,
+  close: () => undefined,
+};
+
+/** Metrics over StatsD, or none when no server is set. */
+export function metrics(settings: settingsModule.Settings): Metrics {
+  if (settings.statsd === '') return NO_METRICS;
+  const [host, port] = settings.statsd.split(':');
+  const client = new hotShots.StatsD({
+    host,
+    port: Number(port),
+    prefix: METRIC_PREFIX,
+    globalTags: {host: settings.hostId, zone: settings.zone},
+    errorHandler: () => undefined,
+  });
+  return {
+    ended: failure => {
+      const type = failure?.type ?? 'none';
+      const verdict = failure?.verdict ?? 'ran';
+      client.increment('requests', 1, {type, verdict});
+    },
+    gauge: (name, value) => client.gauge(name, value),
+    close: () => client.close(),
+  };
+}
+
+/** The log of a host, on standard error; never given secrets or request contents. */
+export function logger(
+  settings: settingsModule.Settings,
+): consola.ConsolaInstance {
+  const jsonReporter: consola.ConsolaReporter = {
+    log: entry => {
+      const [message, fields] = entry.args as [string, object | undefined];
+      const line = {
+        time: entry.date.toISOString(),
+        level: entry.type,
+        host: settings.hostId,
+        message,
+        ...fields,
+      };
+      process.stderr.write(`${JSON.stringify(line)}\n`);
+    },
+  };
+  return consola.createConsola({
+    level: settings.logLevel,
+    stdout: process.stderr,
+    ...(settings.logFormat === 'json' && {reporters: [jsonReporter]}),
+  });
+}
--- a/packages/decisions/src/cell.ts
+++ b/packages/decisions/src/cell.ts
@@ -18,6 +18,9 @@
 /** How long past its deadline a slot may stay unreleased, in milliseconds. */
 export const RELEASE_GRACE_MS = 2000;
 
+/** What an answer over a paid-for link between regions counts as, in milliseconds of waiting. */
+const LINK_COST_MS = 100;
+
 const NO_RUNNER_RETRY_MS = 1000;
 
 /** Why a ticket was turned away: `deadline` means it could not be met even on an idle cell. */
@@ -37,6 +40,7 @@
       readonly host: string;
       readonly running: readonly tickets.Running[];
     }
+  | {readonly kind: 'adopt'; readonly held: tickets.Running}
   | {readonly kind: 'host-gone'; readonly host: string}
   | {
       readonly kind: 'configure';
@@ -46,7 +50,7 @@
   | {
       readonly kind: 'signal';
       readonly runner: string;
-      readonly isLeaving: boolean;
+      readonly sign: 'live' | 'leaving' | 'unreachable';
     }
   | {readonly kind: 'tick'};
 
@@ -132,9 +136,22 @@
     return [...this.fields.runners.values()];
   }
 
+  /** The expected wait of a ticket that comes last, in milliseconds. */
+  waitMs(nowMs: number): number {
+    const open = this.runners.filter(r => r.isOpen(nowMs));
+    if (open.length === 0 || this.fields.waiting.length === 0) return 0;
+    const workMs = this.fields.waiting.reduce(
+      (sum, t) => sum + this.fastestMs(t, nowMs) * open[0].shareOf(t),
+      0,
+    );
+    return workMs / open.length;
+  }
+
   /** True while the cell still collects reports and grants nothing. */
   isRecovering(nowMs: number): boolean {
-    return this.fields.unreported.size > 0 && nowMs < this.fields.recoverUntilMs;
+    return (
+      this.fields.unreported.size > 0 && nowMs < this.fields.recoverUntilMs
+    );
   }
 
   /** The cell after `event` at `nowMs`, with what it wants done. */
@@ -166,9 +183,14 @@
 
   /** Takes a ticket in, or turns it away when its deadline can't be met. */
   admit(ticket: tickets.Ticket, nowMs: number): Applied {
-    if (this.knows(ticket.id)) return {cell: this, effects: []};
+    const held = this.fields.running.get(ticket.id);
+    if (held) return this.grantAgain(held);
+    if (this.waiting.some(t => t.id === ticket.id)) {
+      return {cell: this, effects: []};
+    }
     const usable = this.usable(ticket, nowMs);
-    if (usable.length === 0) return this.refuse(ticket, 'no-runner', NO_RUNNER_RETRY_MS);
+    if (usable.length === 0)
+      return this.refuse(ticket, 'no-runner', NO_RUNNER_RETRY_MS);
     const fastestMs = Math.min(...usable.map(r => r.expectedMs(ticket)));
     if (nowMs + fastestMs > ticket.deadlineMs) {
       return this.refuse(ticket, 'deadline', 0);
@@ -181,7 +203,8 @@
       return this.shed(ticket, waitMs, nowMs);
     }
     const joined = this.with({waiting: [...this.fields.waiting, ticket]});
-    if (joined.waiting.length <= MAX_WAITING) return {cell: joined, effects: []};
+    if (joined.waiting.length <= MAX_WAITING)
+      return {cell: joined, effects: []};
     const last = rank.lastToKeep(joined.waiting) as tickets.Ticket;
     return joined.withoutWaiting(last.id).shed(last, waitMs, nowMs);
   }
@@ -196,14 +219,12 @@
       waiting: this.fields.waiting.filter(t => t.tier <= ticket.tier),
       cutoff,
     });
-    const effects = [...shedding, ticket].map(
-      (shed): CellEffect => ({
-        kind: 'refuse',
-        ticket: shed,
-        reason: 'overloaded',
-        retryAfterMs,
-      }),
-    );
+    const effects = [...shedding, ticket].map((shed): CellEffect => ({
+      kind: 'refuse',
+      ticket: shed,
+      reason: 'overloaded',
+      retryAfterMs,
+    }));
     return {cell, effects};
   }
 
@@ -224,6 +245,25 @@
     return this.with({running, orphans, runners: next});
   }
 
+  /** Takes over the slots that a host reports, and frees those of its slots that it does not. */
+  reconcile(
+    host: string,
+    reported: readonly tickets.Running[],
+    nowMs: number,
+  ): Cell {
+    const ids = new Set(reported.map(held => held.ticket.id));
+    const lost = this.running.filter(
+      held => held.ticket.host === host && !ids.has(held.ticket.id),
+    );
+    const freed = lost.reduce<Cell>(
+      (cell, held) => cell.release(held.ticket.id, {kind: 'cancelled'}, nowMs),
+      this,
+    );
+    return reported
+      .reduce((cell, held) => cell.adopt(held), freed)
+      .reported(host);
+  }
+
   /** Takes over a slot that a host reports to be in use. */
   adopt(held: tickets.Running): Cell {
     const {running, runners: all, orphans} = this.fields;
@@ -235,7 +275,10 @@
     left.delete(held.ticket.id);
     return this.withoutWaiting(held.ticket.id).with({
       running: new Map(running).set(held.ticket.id, held),
-      runners: new Map(all).set(runner.name, runner.occupy(held.ticket, tokens)),
+      runners: new Map(all).set(
+        runner.name,
+        runner.occupy(held.ticket, tokens),
+      ),
       orphans: left,
     });
   }
@@ -283,11 +326,18 @@
     return this.with({runners: next, running: new Map(running)});
   }
 
-  /** Notes that a runner is leaving, or no longer is. */
-  signal(name: string, isLeaving: boolean): Cell {
+  /** Notes what a load report, or its absence, says of a runner. */
+  signal(
+    name: string,
+    sign: 'live' | 'leaving' | 'unreachable',
+    nowMs: number,
+  ): Cell {
     const runner = this.fields.runners.get(name);
     if (!runner) return this;
-    const signalled = runner.signalled(isLeaving);
+    const signalled =
+      sign === 'unreachable'
+        ? runner.observe({kind: 'unreachable'}, nowMs)
+        : runner.signalled(sign === 'leaving', nowMs);
     return this.with({
       runners: new Map(this.fields.runners).set(name, signalled),
     });
@@ -322,11 +372,15 @@
     return {cell, effects};
   }
 
-  private knows(ticketId: string): boolean {
-    return (
-      this.fields.running.has(ticketId) ||
-      this.fields.waiting.some(t => t.id === ticketId)
-    );
+  /** Repeats a grant whose message was lost. */
+  private grantAgain(held: tickets.Running): Applied {
+    const runner = this.fields.runners.get(held.runner);
+    if (!runner) return {cell: this, effects: []};
+    const {ticket} = held;
+    return {
+      cell: this,
+      effects: [{kind: 'grant', ticket, server: runner.server}],
+    };
   }
 
   private refuse(
@@ -431,7 +485,8 @@
     for (const runner of this.fields.runners.values()) {
       if (blocked.has(runner.name) || !runner.serves(ticket)) continue;
       if (!runner.fits(ticket, tokens, nowMs)) continue;
-      const scoreMs = runner.expectedMs(ticket) * (1 + runner.load);
+      const linkMs = runner.server.region === ticket.region ? 0 : LINK_COST_MS;
+      const scoreMs = runner.expectedMs(ticket) * (1 + runner.load) + linkMs;
       if (scoreMs >= bestMs) continue;
       best = runner;
       bestMs = scoreMs;
@@ -460,12 +515,11 @@
     cell: cell.release(event.ticketId, event.outcome, nowMs),
     effects: [],
   }),
-  recover: (cell, event) => ({
-    cell: event.running
-      .reduce((c, held) => c.adopt(held), cell)
-      .reported(event.host),
+  recover: (cell, event, nowMs) => ({
+    cell: cell.reconcile(event.host, event.running, nowMs),
     effects: [],
   }),
+  adopt: (cell, event) => ({cell: cell.adopt(event.held), effects: []}),
   'host-gone': (cell, event, nowMs) => ({
     cell: cell.abandon(event.host, nowMs),
     effects: [],
@@ -474,8 +528,8 @@
     cell: cell.configure(event.servers, event.versionsByServer),
     effects: [],
   }),
-  signal: (cell, event) => ({
-    cell: cell.signal(event.runner, event.isLeaving),
+  signal: (cell, event, nowMs) => ({
+    cell: cell.signal(event.runner, event.sign, nowMs),
     effects: [],
   }),
   tick: (cell, _, nowMs) => cell.sweep(nowMs),
--- a/packages/decisions/src/config.ts
+++ b/packages/decisions/src/config.ts
@@ -27,6 +27,7 @@
 export interface BackendServer {
   readonly name: string;
   readonly url: string;
+  readonly region: string;
   readonly zone: string;
   readonly slotTokens: number;
   readonly maxRunning: number;
--- a/packages/decisions/src/life.ts
+++ b/packages/decisions/src/life.ts
@@ -2,11 +2,7 @@
 
 /** The stages of a request, in order; `answered` is final. */
 export type Stage =
-  | 'received'
-  | 'waiting'
-  | 'granted'
-  | 'dispatched'
-  | 'answered';
+  'received' | 'waiting' | 'granted' | 'dispatched' | 'answered';
 
 /** What a host must still hold true right before the first byte leaves for a backend server. */
 export interface DispatchGuard {
--- a/packages/decisions/src/membership.ts
+++ b/packages/decisions/src/membership.ts
@@ -127,7 +127,8 @@
         seen.set(host, {member: dead, sinceMs: nowMs});
         news.push(dead);
       }
-      if (member.state === 'dead' && ageMs >= FORGET_AFTER_MS) seen.delete(host);
+      if (member.state === 'dead' && ageMs >= FORGET_AFTER_MS)
+        seen.delete(host);
     }
     if (news.length === 0 && seen.size === this.seen.size) {
       return this.unchanged();
--- a/packages/decisions/src/runner.ts
+++ b/packages/decisions/src/runner.ts
@@ -5,6 +5,7 @@
 
 const FIRST_BACKOFF_MS = 500;
 const MAX_BACKOFF_MS = 10_000;
+const LEAVING_STICKS_MS = 5000;
 
 /** What happened to a request that was granted a slot. */
 export type Outcome =
@@ -31,6 +32,7 @@
   readonly state: RunnerState;
   readonly failures: number;
   readonly retryAtMs: number;
+  readonly leavingAtMs: number;
   readonly pace: pace.Pace;
   readonly cached: prefix.PrefixGuess;
   readonly usedTokens: number;
@@ -64,6 +66,7 @@
       state: 'live',
       failures: 0,
       retryAtMs: 0,
+      leavingAtMs: 0,
       pace: pace.INITIAL_PACE,
       cached: prefix.PrefixGuess.empty,
       usedTokens: 0,
@@ -180,10 +183,16 @@
     return handler(this, outcome, nowMs);
   }
 
-  /** The runner after the list of backend servers or a load report told its state. */
-  signalled(isLeaving: boolean): Runner {
-    if (isLeaving) return this.with({state: 'leaving'});
-    return this.fields.state === 'leaving' ? this.with({state: 'live'}) : this;
+  /**
+   * The runner after the list of backend servers or a load report told its
+   * state. Both lag, so a runner that said it is leaving stays so until
+   * nothing has said it for `LEAVING_STICKS_MS`.
+   */
+  signalled(isLeaving: boolean, nowMs: number): Runner {
+    if (isLeaving) return this.with({state: 'leaving', leavingAtMs: nowMs});
+    const {state, leavingAtMs} = this.fields;
+    const isOld = nowMs - leavingAtMs >= LEAVING_STICKS_MS;
+    return state === 'leaving' && isOld ? this.with({state: 'live'}) : this;
   }
 
   /** The runner with a new configuration entry and set of versions. */
@@ -228,7 +237,7 @@
   completed: (runner, outcome) => runner.succeeded(outcome.measured),
   cancelled: runner => runner,
   'not-admitted': (runner, outcome, nowMs) =>
-    outcome.isLeaving ? runner.signalled(true) : runner.failed(nowMs),
+    outcome.isLeaving ? runner.signalled(true, nowMs) : runner.failed(nowMs),
   unreachable: (runner, _, nowMs) => runner.failed(nowMs),
   crashed: (runner, _, nowMs) => runner.failed(nowMs),
   failed: runner => runner,
--- a/packages/decisions/src/suspects.ts
+++ b/packages/decisions/src/suspects.ts
@@ -4,9 +4,13 @@
 /** How long a fingerprint stays on record after its last crash, in milliseconds. */
 export const SUSPECT_KEEP_MS = 3_600_000;
 
+/** Reports of crashes of one backend server this close together are one crash, in milliseconds. */
+export const SAME_CRASH_MS = 3000;
+
 /** A crash of one backend server, with the fingerprints of the requests that were in flight on it. */
 export interface Crash {
   readonly crashId: string;
+  readonly backendServer: string;
   readonly atMs: number;
   readonly fingerprints: readonly string[];
 }
@@ -56,13 +60,18 @@
   /** How a request with this fingerprint is to be treated. */
   standing(fingerprint: string): Standing {
     const since = this.completedMs.get(fingerprint) ?? -Infinity;
-    const count = this.crashesOf(fingerprint).filter(
-      crash => crash.atMs > since,
-    ).length;
+    const count = distinct(
+      this.crashesOf(fingerprint).filter(crash => crash.atMs > since),
+    );
     if (count >= CRASHES_TO_REFUSE) return 'refused';
     return count > 0 ? 'suspect' : 'clear';
   }
 
+  /** When each fingerprint last ran to its end, for a host that joins. */
+  get completions(): ReadonlyMap<string, number> {
+    return this.completedMs;
+  }
+
   /** All crashes on record, for a host that joins. */
   list(): readonly Crash[] {
     return [...this.crashes.values()];
@@ -72,3 +81,16 @@
     return this.list().filter(c => c.fingerprints.includes(fingerprint));
   }
 }
+
+/** Counts crashes; several hosts report the same one. */
+function distinct(crashes: readonly Crash[]): number {
+  const sorted = [...crashes].sort((a, b) => a.atMs - b.atMs);
+  const lastMs = new Map<string, number>();
+  let count = 0;
+  for (const {backendServer, atMs} of sorted) {
+    const previousMs = lastMs.get(backendServer) ?? -Infinity;
+    if (atMs - previousMs > SAME_CRASH_MS) count++;
+    lastMs.set(backendServer, atMs);
+  }
+  return count;
+}
--- a/packages/decisions/src/ticket.ts
+++ b/packages/decisions/src/ticket.ts
@@ -4,6 +4,8 @@
 export interface Ticket {
   readonly id: string;
   readonly host: string;
+  /** The region of the host, where the answer has to go. */
+  readonly region: string;
   readonly account: string;
   readonly weight: number;
   readonly tier: config.Tier;
--- /dev/null
+++ b/packages/operators/src/app.ts
@@ -0,0 +1,166 @@
+import * as crypto from 'node:crypto';
+
+import type * as decisions from '@banyanhall/decisions';
+import Koa from 'koa';
+import rawBody from 'raw-body';
+
+import type * as consoles from './console.js';
+import * as file from './file.js';
+
+const MAX_BODY_BYTES = 16_777_216;
+const DEFAULT_HISTORY = 20;
+
+type Handler = (
+  ctx: Koa.Context,
+  host: consoles.Console,
+  argument: string,
+) => Promise<void> | void;
+
+interface Route {
+  readonly method: string;
+  readonly path: RegExp;
+  readonly handle: Handler;
+}
+
+const RESULT_STATUS: Readonly<Record<consoles.ChangeResult['kind'], number>> = {
+  committed: 200,
+  conflict: 409,
+  invalid: 400,
+  unavailable: 503,
+  unknown: 504,
+};
+
+const ROUTES: readonly Route[] = [
+  {
+    method: 'GET',
+    path: /^\/operator\/config$/,
+    handle: (ctx, host) => {
+      const current = host.config();
+      ctx.body = {number: current.number, entries: current.toEdits()};
+    },
+  },
+  {method: 'POST', path: /^\/operator\/config$/, handle: change},
+  {
+    method: 'GET',
+    path: /^\/operator\/config\/history$/,
+    handle: async (ctx, host) => {
+      const limit = Number(ctx.query.limit ?? DEFAULT_HISTORY);
+      ctx.body = await host.history(limit);
+    },
+  },
+  {
+    method: 'GET',
+    path: /^\/operator\/config\/(\d+)$/,
+    handle: async (ctx, host, number) => {
+      const found = await host.changeAt(Number(number));
+      if (found) ctx.body = found;
+    },
+  },
+  {
+    method: 'GET',
+    path: /^\/operator\/in-force\/(\d+)$/,
+    handle: async (ctx, host, number) => {
+      ctx.body = await host.inForce(Number(number));
+    },
+  },
+  {
+    method: 'GET',
+    path: /^\/operator\/status$/,
+    handle: (ctx, host) => {
+      ctx.body = host.status();
+    },
+  },
+  {
+    method: 'GET',
+    path: /^\/operator\/timeline$/,
+    handle: (ctx, host) => {
+      ctx.body = host.timeline(Number(ctx.query.after ?? 0));
+    },
+  },
+  {
+    method: 'GET',
+    path: /^\/operator\/moves$/,
+    handle: async (ctx, host) => {
+      ctx.body = await host.moves();
+    },
+  },
+  {
+    method: 'POST',
+    path: /^\/operator\/moves$/,
+    handle: async (ctx, host) => {
+      const request = (await json(ctx)) as consoles.MoveRequest;
+      writeMove(ctx, await host.startMove(request));
+    },
+  },
+  {
+    method: 'POST',
+    path: /^\/operator\/moves\/([^/]+)\/take-back$/,
+    handle: async (ctx, host, id) => {
+      const {author} = (await json(ctx)) as {readonly author: string};
+      writeMove(ctx, await host.takeBack(id, author));
+    },
+  },
+];
+
+/** The HTTP application for operators; `keySha256` is the digest of the operators' key in hex. */
+export function app(host: consoles.Console, keySha256: string): Koa {
+  const koa = new Koa();
+  koa.silent = true;
+  koa.use(async ctx => {
+    if (!isOperator(ctx, keySha256)) {
+      ctx.status = 401;
+      ctx.body = {error: {message: 'an operator key is needed'}};
+      return;
+    }
+    try {
+      await route(ctx, host);
+    } catch (error) {
+      ctx.status = error instanceof SyntaxError ? 400 : 503;
+      const message = error instanceof Error ? error.message : String(error);
+      ctx.body = {error: {message}};
+    }
+  });
+  return koa;
+}
+
+async function route(ctx: Koa.Context, host: consoles.Console): Promise<void> {
+  for (const {method, path, handle} of ROUTES) {
+    const match = ctx.method === method && path.exec(ctx.path);
+    if (match) return handle(ctx, host, match[1] ?? '');
+  }
+}
+
+function isOperator(ctx: Koa.Context, keySha256: string): boolean {
+  const key = ctx.get('authorization').replace(/^Bearer /i, '');
+  const digest = crypto.createHash('sha256').update(key).digest();
+  const expected = Buffer.from(keySha256, 'hex');
+  return (
+    digest.length === expected.length &&
+    crypto.timingSafeEqual(digest, expected)
+  );
+}
+
+async function change(ctx: Koa.Context, host: consoles.Console): Promise<void> {
+  const request = (await json(ctx)) as consoles.ChangeRequest;
+  const edits: readonly decisions.config.Edit[] = request.edits ?? [];
+  const mistakes = file.checkEdits(edits);
+  const result: consoles.ChangeResult =
+    mistakes.length > 0
+      ? {kind: 'invalid', mistakes}
+      : await host.change(request);
+  ctx.status = RESULT_STATUS[result.kind];
+  ctx.body = result;
+}
+
+function writeMove(ctx: Koa.Context, result: consoles.MoveResult): void {
+  ctx.status = result.kind === 'accepted' ? 200 : 409;
+  ctx.body = result;
+}
+
+async function json(ctx: Koa.Context): Promise<unknown> {
+  const text = await rawBody(ctx.req, {
+    limit: MAX_BODY_BYTES,
+    encoding: 'utf8',
+  });
+  return JSON.parse(text) as unknown;
+}
--- a/packages/peers/src/links.ts
+++ b/packages/peers/src/links.ts
@@ -158,12 +158,7 @@
     const stream = client.makeBidiStreamRequest<
       readonly messages.Item[],
       readonly messages.Item[]
-    >(
-      METHOD_PATH,
-      items => this.encoded(items),
-      messages.decode,
-      metadata,
-    );
+    >(METHOD_PATH, items => this.encoded(items), messages.decode, metadata);
     return this.attach(host, {stream, client});
   }
 
--- a/packages/peers/src/messages.ts
+++ b/packages/peers/src/messages.ts
@@ -30,6 +30,7 @@
   readonly changes: Full<peer.banyanhall.peer.Changes.$Properties>;
   readonly detach: Full<peer.banyanhall.peer.Detach.$Properties>;
   readonly evidence: Full<peer.banyanhall.peer.Evidence.$Properties>;
+  readonly share: Full<peer.banyanhall.peer.Share.$Properties>;
 }
 
 /** The name of a kind of message. */
--- a/packages/platform/src/fake.ts
+++ b/packages/platform/src/fake.ts
@@ -63,7 +63,9 @@
 
   private applied(transaction: table.Transaction): table.CommitResult {
     const keys = transaction.conditions
-      .filter(c => (this.rows.get(c.key)?.version ?? table.ABSENT) !== c.version)
+      .filter(
+        c => (this.rows.get(c.key)?.version ?? table.ABSENT) !== c.version,
+      )
       .map(c => c.key);
     if (keys.length > 0) return {kind: 'conflict', keys};
     this.version++;
--- /dev/null
+++ b/packages/standins/src/main.ts
@@ -0,0 +1,35 @@
+import type * as http from 'node:http';
+
+import * as engine from './engine.js';
+import * as plain from './plain.js';
+import * as platform from './platform.js';
+import * as server from './server.js';
+
+interface StandIn {
+  listen(port: number): Promise<http.Server>;
+}
+
+const KINDS: Readonly<
+  Record<string, (options: object, versions: readonly string[]) => StandIn>
+> = {
+  engine: (options, versions) => new engine.EngineStandIn(options, versions),
+  plain: (options, versions) => new plain.PlainStandIn(options, versions),
+  platform: options => new platform.PlatformStandIn(options),
+};
+
+const USAGE =
+  'usage: main.js engine|plain|platform PORT [BEHAVIOUR-JSON] [VERSIONS]';
+
+async function main(): Promise<void> {
+  const [kind, port, behaviour = '{}', versions = 'v1'] = process.argv.slice(2);
+  const make = KINDS[kind];
+  if (!make) {
+    console.error(USAGE);
+    process.exit(2);
+  }
+  const standIn = make(JSON.parse(behaviour) as object, versions.split(','));
+  const listening = await standIn.listen(Number(port));
+  console.log(`listening ${server.portOf(listening)}`);
+}
+
+await main();
--- /dev/null
+++ b/packages/standins/src/plain.ts
@@ -0,0 +1,101 @@
+import type * as http from 'node:http';
+
+import type Koa from 'koa';
+
+import * as server from './server.js';
+
+/** How a plain service behaves; tests change it while it runs. */
+export interface PlainBehaviour {
+  readonly delayMs: number;
+  readonly isLeaving: boolean;
+  readonly isRefusing: boolean;
+  /** Closes the connection after the effect, before the answer. */
+  readonly losesReplies: boolean;
+  readonly checksFence: boolean;
+  readonly badVersion: string;
+}
+
+const HEALTHY: PlainBehaviour = {
+  delayMs: 5,
+  isLeaving: false,
+  isRefusing: false,
+  losesReplies: false,
+  checksFence: false,
+  badVersion: '',
+};
+
+/** A plain service that counts its effects by request key, for tests. */
+export class PlainStandIn {
+  private readonly effects = new Map<string, number>();
+  private behaviour: PlainBehaviour;
+  private versions: {fence: number; versions: readonly string[]};
+  private running = 0;
+
+  constructor(
+    behaviour: Partial<PlainBehaviour> = {},
+    versions: readonly string[] = ['v1'],
+  ) {
+    this.behaviour = {...HEALTHY, ...behaviour};
+    this.versions = {fence: 0, versions};
+  }
+
+  /** Serves on loopback. */
+  listen(port: number): Promise<http.Server> {
+    return server.serve(
+      {
+        'GET /effects': ctx => {
+          ctx.body = Object.fromEntries(this.effects);
+        },
+        'POST /fault': (ctx, body) => {
+          if (body.crash) process.exit(1);
+          this.behaviour = {...this.behaviour, ...body};
+          ctx.body = this.behaviour;
+        },
+        'GET /v1/load': ctx => {
+          const {isLeaving} = this.behaviour;
+          ctx.body = {running: this.running, usedTokens: 0, isLeaving};
+        },
+        'GET /v1/versions': ctx => {
+          ctx.body = this.versions;
+        },
+        'PUT /v1/versions': (ctx, body) => {
+          const fence = Number(body.fence);
+          if (fence < this.versions.fence && this.behaviour.checksFence) {
+            ctx.status = 409;
+          } else {
+            const versions = body.versions as readonly string[];
+            this.versions = {fence, versions};
+          }
+          ctx.body = this.versions;
+        },
+        'GET /*': ctx => this.run(ctx, false),
+        'POST /*': ctx => this.run(ctx, true),
+      },
+      port,
+    );
+  }
+
+  private async run(ctx: Koa.Context, hasEffect: boolean): Promise<void> {
+    const {isLeaving, isRefusing, losesReplies, delayMs} = this.behaviour;
+    if (isLeaving || isRefusing) {
+      ctx.status = 503;
+      ctx.body = {error: {code: 'not_admitted', leaving: isLeaving}};
+      return;
+    }
+    const key = ctx.get('idempotency-key');
+    if (hasEffect) this.effects.set(key, (this.effects.get(key) ?? 0) + 1);
+    this.running++;
+    await new Promise(resolve => setTimeout(resolve, delayMs));
+    this.running--;
+    if (losesReplies) {
+      ctx.respond = false;
+      ctx.res.destroy();
+      return;
+    }
+    if (ctx.get('x-service-version') === this.behaviour.badVersion) {
+      ctx.status = 500;
+      return;
+    }
+    ctx.body = {ok: true, path: ctx.path, effects: this.effects.get(key) ?? 0};
+  }
+}
--- /dev/null
+++ b/packages/trials/src/fleet.ts
@@ -0,0 +1,343 @@
+import * as crypto from 'node:crypto';
+
+import type * as decisions from '@banyanhall/decisions';
+import got from 'got';
+
+import * as processes from './processes.js';
+
+const SECRET = 'trial-fleet-secret-0001';
+const OPERATOR_KEY = 'trial-operator-key';
+const READY_TRIES = 200;
+const READY_MS = 50;
+const REQUEST_MS = 3000;
+
+/** One event as a daemon wrote it. */
+export interface FleetEvent {
+  readonly host: string;
+  readonly seq: number;
+  readonly atMs: number;
+  readonly kind: string;
+  readonly requestId: string;
+  readonly detail: Readonly<Record<string, string | number | boolean>>;
+}
+
+/** A daemon of the fleet. */
+export interface Host {
+  readonly name: string;
+  readonly region: string;
+  readonly zone: string;
+  readonly callerUrl: string;
+  readonly operatorUrl: string;
+  readonly peerAddress: string;
+  process: processes.Started;
+}
+
+/** A backend server of the fleet. */
+export interface Backend {
+  readonly name: string;
+  readonly service: string;
+  readonly kind: 'engine' | 'plain';
+  readonly server: decisions.config.BackendServer;
+  readonly behaviour: object;
+  process: processes.Started;
+}
+
+/** A service to be started with its backend servers. */
+export interface ServicePlan {
+  readonly name: string;
+  readonly kind: 'model' | 'plain';
+  readonly fencing: decisions.config.FencingCheck;
+  /** How each backend server behaves; one for each. */
+  readonly behaviours: readonly object[];
+  readonly slotTokens: number;
+  readonly maxRunning: number;
+}
+
+/** A place where hosts and backend servers stand. */
+export interface Place {
+  readonly region: string;
+  readonly zone: string;
+}
+
+/** What a fleet consists of. */
+export interface FleetPlan {
+  readonly hosts: number;
+  readonly places: readonly Place[];
+  readonly services: readonly ServicePlan[];
+  readonly profiles: readonly decisions.config.Profile[];
+  readonly accounts: readonly string[];
+  readonly addressKeepMs: number;
+  readonly platform: object;
+  readonly keepsTimeline: boolean;
+}
+
+/** The digest of a trial account's key, which is `key-` and its name. */
+export function keySha256(account: string): string {
+  return crypto.createHash('sha256').update(`key-${account}`).digest('hex');
+}
+
+/** Real daemons and stand-ins as processes on loopback. Every process that it starts is ended by `stop`. */
+export class Fleet {
+  readonly hosts: Host[] = [];
+  readonly backends: Backend[] = [];
+  readonly events: FleetEvent[] = [];
+  readonly logLines: string[] = [];
+  platformUrl = '';
+  private platformProcess: processes.Started | undefined;
+
+  private constructor(readonly plan: FleetPlan) {}
+
+  /** Starts a fleet and puts its configuration in force. */
+  static async start(plan: FleetPlan): Promise<Fleet> {
+    const fleet = new Fleet(plan);
+    try {
+      await fleet.startAll();
+    } catch (error) {
+      await fleet.stop();
+      throw error;
+    }
+    return fleet;
+  }
+
+  /** Changes how a backend server behaves. */
+  async fault(backend: Backend, behaviour: object): Promise<void> {
+    await got
+      .post(`${backend.server.url}/fault`, {
+        json: behaviour,
+        retry: {limit: 0},
+        timeout: {request: REQUEST_MS},
+      })
+      .catch(() => undefined);
+  }
+
+  /** Changes how the platform behaves. */
+  async platformFault(behaviour: object): Promise<void> {
+    await got.post(`${this.platformUrl}/fault`, {json: behaviour});
+  }
+
+  /** Starts a backend server again at its old address. */
+  async restartBackend(backend: Backend): Promise<void> {
+    const {port} = new URL(backend.server.url);
+    backend.process = await processes.startStandInAt(
+      backend.name,
+      backend.kind,
+      Number(port),
+      backend.behaviour,
+    );
+  }
+
+  /** Starts one more host, or one that has ended again. */
+  async startHost(index: number): Promise<Host> {
+    const {places} = this.plan;
+    const place = places[index % places.length];
+    const name = `host-${index + 1}`;
+    const known = this.hosts.find(host => host.name === name);
+    if (known) {
+      known.process = this.spawnHost(known);
+      return known;
+    }
+    const [caller, operator, peer] = await processes.freePorts(3);
+    const host = {
+      name,
+      ...place,
+      callerUrl: `http://127.0.0.1:${caller}`,
+      operatorUrl: `http://127.0.0.1:${operator}`,
+      peerAddress: `127.0.0.1:${peer}`,
+    };
+    const started: Host = {...host, process: this.spawnHost(host)};
+    this.hosts.push(started);
+    return started;
+  }
+
+  /** Resolves when a host takes new work. */
+  async ready(host: Host): Promise<void> {
+    for (let i = 0; i < READY_TRIES; i++) {
+      if (await this.isReady(host)) return;
+      await new Promise(resolve => setTimeout(resolve, READY_MS));
+    }
+    throw new Error(`${host.name} did not become ready`);
+  }
+
+  /** The hosts whose process has not ended. */
+  get running(): readonly Host[] {
+    return this.hosts.filter(
+      host =>
+        host.process.child.exitCode === null &&
+        host.process.child.signalCode === null,
+    );
+  }
+
+  /** Sends a request to a host's operator side. */
+  async operator<T>(host: Host, path: string, body?: object): Promise<T> {
+    const response = await got(host.operatorUrl + path, {
+      method: body ? 'POST' : 'GET',
+      json: body,
+      headers: {authorization: `Bearer ${OPERATOR_KEY}`},
+      retry: {limit: 0},
+      timeout: {request: REQUEST_MS * 4},
+      throwHttpErrors: false,
+    });
+    return JSON.parse(response.body) as T;
+  }
+
+  /** Reads what a stand-in remembers. */
+  async remembered<T>(backend: Backend, path: string): Promise<T> {
+    return got(backend.server.url + path, {
+      timeout: {request: REQUEST_MS},
+    }).json<T>();
+  }
+
+  /** The arguments for the operators' tool, as environment variables. */
+  get operatorEnv(): Readonly<Record<string, string>> {
+    return {
+      BANYANHALL_OPERATOR_URL: this.hosts.map(h => h.operatorUrl).join(','),
+      BANYANHALL_OPERATOR_KEY: OPERATOR_KEY,
+    };
+  }
+
+  /** Ends every process that was started. */
+  async stop(): Promise<void> {
+    const all = [
+      ...this.hosts.map(host => host.process),
+      ...this.backends.map(backend => backend.process),
+      ...(this.platformProcess ? [this.platformProcess] : []),
+    ];
+    for (const {child} of all) {
+      child.kill('SIGCONT');
+      child.kill('SIGKILL');
+    }
+    await Promise.all(all.map(({ended}) => ended));
+  }
+
+  private async startAll(): Promise<void> {
+    const {plan} = this;
+    const platform = await processes.startStandIn(
+      'platform',
+      'platform',
+      plan.platform,
+    );
+    this.platformProcess = platform.started;
+    this.platformUrl = `http://127.0.0.1:${platform.port}`;
+    for (const service of plan.services) await this.startService(service);
+    for (let i = 0; i < plan.hosts; i++) await this.startHost(i);
+    await Promise.all(this.hosts.map(host => this.ready(host)));
+    await this.configure();
+  }
+
+  private async startService(service: ServicePlan): Promise<void> {
+    const kind = service.kind === 'model' ? 'engine' : 'plain';
+    for (const [index, behaviour] of service.behaviours.entries()) {
+      const name = `${service.name}-${index + 1}`;
+      const {started, port} = await processes.startStandIn(
+        name,
+        kind,
+        behaviour,
+      );
+      const {slotTokens, maxRunning} = service;
+      const place = this.plan.places[index % this.plan.places.length];
+      const url = `http://127.0.0.1:${port}`;
+      this.backends.push({
+        name,
+        service: service.name,
+        kind,
+        server: {name, url, ...place, slotTokens, maxRunning},
+        behaviour,
+        process: started,
+      });
+    }
+  }
+
+  private async configure(): Promise<void> {
+    const {profiles, accounts, services} = this.plan;
+    const edits: decisions.config.Edit[] = [];
+    for (const value of profiles) {
+      edits.push({entry: 'profile', name: value.name, value});
+    }
+    for (const name of accounts) {
+      const value = {
+        name,
+        keySha256: keySha256(name),
+        profiles: profiles.map(profile => profile.name),
+        maxInFlight: 1000,
+        weight: 1,
+      };
+      edits.push({entry: 'account', name, value});
+    }
+    for (const {name, kind, fencing} of services) {
+      const backendServers = this.backends
+        .filter(backend => backend.service === name)
+        .map(backend => backend.server);
+      const value = {name, kind, fencing, version: 'v1', backendServers};
+      edits.push({entry: 'service', name, value});
+    }
+    await this.change(edits);
+  }
+
+  /** Sends a change of the configuration and resolves when it is in force on every host. */
+  async change(edits: readonly decisions.config.Edit[]): Promise<number> {
+    const [host] = this.hosts;
+    const result = await this.operator<{
+      readonly kind: string;
+      readonly number: number;
+    }>(host, '/operator/config', {
+      changeId: crypto.randomUUID(),
+      author: 'trial',
+      edits,
+    });
+    if (result.kind !== 'committed') {
+      throw new Error(
+        `the change was not committed: ${JSON.stringify(result)}`,
+      );
+    }
+    for (let i = 0; i < READY_TRIES; i++) {
+      const hosts = await this.operator<readonly {isInForce: boolean}[]>(
+        host,
+        `/operator/in-force/${result.number}`,
+      );
+      if (hosts.every(each => each.isInForce)) return result.number;
+    }
+    throw new Error('the configuration did not come into force');
+  }
+
+  private spawnHost(host: Omit<Host, 'process'>): processes.Started {
+    const {plan, platformUrl} = this;
+    const digest = crypto.createHash('sha256').update(OPERATOR_KEY);
+    return processes.start({
+      name: host.name,
+      script: processes.scriptPath('daemon', 'main.js'),
+      args: [
+        ...['--host-id', host.name],
+        ...['--region', host.region],
+        ...['--zone', host.zone],
+        ...['--caller-listen', new URL(host.callerUrl).host],
+        ...['--operator-listen', new URL(host.operatorUrl).host],
+        ...['--peer-listen', host.peerAddress],
+        ...['--platform-url', platformUrl],
+        ...['--address-keep-ms', String(plan.addressKeepMs)],
+        ...['--operator-key-sha256', digest.digest('hex')],
+        ...['--timeline-log', plan.keepsTimeline ? 'on' : 'off'],
+      ],
+      env: {BANYANHALL_FLEET_SECRET: SECRET},
+      onLine: line => this.noteEvent(line),
+      onErrorLine: line => this.logLines.push(line),
+    });
+  }
+
+  private noteEvent(line: string): void {
+    try {
+      this.events.push(JSON.parse(line) as FleetEvent);
+    } catch {
+      this.logLines.push(line);
+    }
+  }
+
+  private async isReady(host: Host): Promise<boolean> {
+    return got(`${host.callerUrl}/readyz`, {
+      retry: {limit: 0},
+      timeout: {request: REQUEST_MS},
+    }).then(
+      () => true,
+      () => false,
+    );
+  }
+}
--- /dev/null
+++ b/packages/trials/src/index.ts
@@ -0,0 +1,1 @@
+export * as fleet from './fleet.js';
--- /dev/null
+++ b/packages/trials/src/processes.ts
@@ -0,0 +1,104 @@
+import * as childProcess from 'node:child_process';
+import * as net from 'node:net';
+import * as readline from 'node:readline';
+import * as url from 'node:url';
+
+const LISTENING = /^listening (\d+)$/;
+
+/** A process that was started here. */
+export interface Started {
+  readonly name: string;
+  readonly child: childProcess.ChildProcess;
+  /** Resolves when the process has ended. */
+  readonly ended: Promise<number | null>;
+}
+
+/** What a process is started with. */
+export interface StartOptions {
+  readonly name: string;
+  readonly script: string;
+  readonly args: readonly string[];
+  readonly env?: Readonly<Record<string, string>>;
+  readonly onLine?: (line: string) => void;
+  readonly onErrorLine?: (line: string) => void;
+}
+
+/** The path of a built script of this repository. */
+export function scriptPath(packageName: string, file: string): string {
+  const here = new URL('.', import.meta.url);
+  const path = `../../${packageName}/dist/${file}`;
+  return url.fileURLToPath(new URL(path, here));
+}
+
+/** Starts a Node.js process. */
+export function start(options: StartOptions): Started {
+  const {name, script, args, env, onLine, onErrorLine} = options;
+  const child = childProcess.spawn(process.execPath, [script, ...args], {
+    stdio: ['ignore', 'pipe', 'pipe'],
+    env: {...process.env, ...env},
+  });
+  const lines = readline.createInterface({input: child.stdout});
+  lines.on('line', line => onLine?.(line));
+  const errors = readline.createInterface({input: child.stderr});
+  errors.on('line', line => onErrorLine?.(line));
+  const ended = new Promise<number | null>(resolve => {
+    child.once('exit', code => resolve(code));
+  });
+  return {name, child, ended};
+}
+
+/** Starts a stand-in and resolves to it and its port once it listens. */
+export async function startStandIn(
+  name: string,
+  kind: string,
+  behaviour: object,
+  versions = 'v1',
+): Promise<{readonly started: Started; readonly port: number}> {
+  const [port] = await freePorts(1);
+  const started = await startStandInAt(name, kind, port, behaviour, versions);
+  return {started, port};
+}
+
+/** Starts a stand-in at a given port. */
+export function startStandInAt(
+  name: string,
+  kind: string,
+  port: number,
+  behaviour: object,
+  versions = 'v1',
+): Promise<Started> {
+  return new Promise((resolve, reject) => {
+    const errors: string[] = [];
+    const started = start({
+      name,
+      script: scriptPath('standins', 'main.js'),
+      args: [kind, String(port), JSON.stringify(behaviour), versions],
+      onLine: line => {
+        if (LISTENING.test(line)) resolve(started);
+      },
+      onErrorLine: line => errors.push(line),
+    });
+    void started.ended.then(code =>
+      reject(new Error(`${name} ended with ${code}: ${errors.join(' ')}`)),
+    );
+  });
+}
+
+/** Ports on loopback that are free now. */
+export async function freePorts(count: number): Promise<readonly number[]> {
+  const servers = Array.from({length: count}, () => net.createServer());
+  const ports = await Promise.all(servers.map(listen));
+  await Promise.all(
+    servers.map(server => new Promise(resolve => server.close(resolve))),
+  );
+  return ports;
+}
+
+function listen(server: net.Server): Promise<number> {
+  return new Promise(resolve => {
+    server.listen(0, '127.0.0.1', () => {
+      const address = server.address() as net.AddressInfo;
+      resolve(address.port);
+    });
+  });
+}
