Decode zero fields as zero; share slots by recent use; property tests

Ruled out: the store (claims were not reached), the wait estimate (cell was idle).

Fair sharing compared only running tokens; with one place free a large account with earlier deadlines won every time. It now counts recent use.

--- /dev/null
+++ b/packages/decisions/src/cell.test.ts
@@ -0,0 +1,312 @@
+import * as assert from 'node:assert/strict';
+import * as test from 'node:test';
+
+import * as fc from 'fast-check';
+
+import * as cells from './cell.js';
+import * as checker from './cellchecker.js';
+import type * as config from './config.js';
+import type * as tickets from './ticket.js';
+
+const SEED = 20261204;
+const RUNS = 300;
+
+function server(name: string, maxRunning = 4): config.BackendServer {
+  return {
+    name,
+    url: `http://${name}`,
+    region: 'r',
+    zone: 'z',
+    slotTokens: 4000,
+    maxRunning,
+  };
+}
+
+function ticket(
+  id: string,
+  change: Partial<tickets.Ticket> = {},
+): tickets.Ticket {
+  return {
+    id,
+    host: 'h1',
+    region: 'r',
+    account: 'a',
+    weight: 1,
+    tier: 2,
+    deadlineMs: 60_000,
+    arrivedMs: 0,
+    promptTokens: 100,
+    outputTokens: 100,
+    chain: [],
+    version: '',
+    isSuspect: false,
+    ...change,
+  };
+}
+
+/** A cell with these servers that is not recovering. */
+function cellWith(...servers: readonly config.BackendServer[]): cells.Cell {
+  const empty = cells.Cell.recovering([], 0);
+  const versionsByServer = new Map<string, readonly string[]>();
+  return empty.apply({kind: 'configure', servers, versionsByServer}, 0).cell;
+}
+
+function ask(change: tickets.Ticket): cells.CellEvent {
+  return {kind: 'ask', ticket: change};
+}
+
+function grants(applied: cells.Applied): readonly string[] {
+  return applied.effects
+    .filter(effect => effect.kind === 'grant')
+    .map(effect => effect.ticket.id);
+}
+
+function refusals(applied: cells.Applied): readonly string[] {
+  return applied.effects
+    .filter(effect => effect.kind === 'refuse')
+    .map(effect => effect.ticket.id);
+}
+
+/** A cell whose one place is taken by `busy`. */
+function busyCell(): cells.Cell {
+  const applied = cellWith(server('s1', 1)).apply(ask(ticket('busy')), 0);
+  assert.deepEqual(grants(applied), ['busy']);
+  return applied.cell;
+}
+
+function finish(cell: cells.Cell, ticketId: string, nowMs: number) {
+  const outcome = {kind: 'cancelled' as const};
+  return cell.apply({kind: 'done', ticketId, outcome}, nowMs);
+}
+
+test.test('a ticket that fits is granted at once', () => {
+  const applied = cellWith(server('s1')).apply(ask(ticket('t1')), 0);
+  assert.deepEqual(grants(applied), ['t1']);
+});
+
+test.test('a repeated ask repeats the grant and takes no second slot', () => {
+  const first = cellWith(server('s1')).apply(ask(ticket('t1')), 0);
+  const second = first.cell.apply(ask(ticket('t1')), 10);
+  assert.deepEqual(grants(second), ['t1']);
+  assert.equal(second.cell.running.length, 1);
+});
+
+test.test('the higher tier is granted first', () => {
+  let cell = busyCell();
+  cell = cell.apply(ask(ticket('low', {tier: 3})), 0).cell;
+  cell = cell.apply(ask(ticket('high', {tier: 1})), 0).cell;
+  assert.deepEqual(grants(finish(cell, 'busy', 1)), ['high']);
+});
+
+test.test('inside a tier the earlier deadline is granted first', () => {
+  let cell = busyCell();
+  cell = cell.apply(ask(ticket('late', {deadlineMs: 90_000})), 0).cell;
+  cell = cell.apply(ask(ticket('soon', {deadlineMs: 50_000})), 0).cell;
+  assert.deepEqual(grants(finish(cell, 'busy', 1)), ['soon']);
+});
+
+test.test('a large account does not starve a small one of its tier', () => {
+  let cell = cellWith(server('s1', 2));
+  for (let i = 0; i < 6; i++) {
+    const change = {account: 'large', deadlineMs: 40_000, outputTokens: 1000};
+    cell = cell.apply(ask(ticket(`l${i}`, change)), 0).cell;
+  }
+  const small = {account: 'small', deadlineMs: 80_000};
+  cell = cell.apply(ask(ticket('s', small)), 0).cell;
+  assert.deepEqual(grants(finish(cell, 'l0', 1)), ['s']);
+});
+
+test.test('shedding a tier gives up lower tiers first', () => {
+  let cell = busyCell();
+  cell = cell.apply(ask(ticket('low', {tier: 3})), 0).cell;
+  const urgent = ticket('urgent', {tier: 1, deadlineMs: 2600});
+  const applied = cell.apply(ask(urgent), 0);
+  assert.deepEqual(refusals(applied), ['low', 'urgent']);
+});
+
+test.test('after a tier was shed a lower one stays out for a while', () => {
+  const urgent = ticket('urgent', {tier: 1, deadlineMs: 2600});
+  const shed = busyCell().apply(ask(urgent), 0).cell;
+  const low = ask(ticket('low', {tier: 3}));
+  assert.deepEqual(refusals(shed.apply(low, 10)), ['low']);
+  assert.deepEqual(refusals(shed.apply(low, cells.CUTOFF_MS + 10)), []);
+});
+
+test.test('a request that is too long for its deadline is not started', () => {
+  const long = ticket('long', {outputTokens: 3000, deadlineMs: 1000});
+  const applied = cellWith(server('s1')).apply(ask(long), 0);
+  const [effect] = applied.effects;
+  assert.equal(effect.kind === 'refuse' && effect.reason, 'deadline');
+});
+
+test.test('a leaving runner gets nothing new', () => {
+  const event = {kind: 'signal', runner: 's1', sign: 'leaving'} as const;
+  const cell = cellWith(server('s1')).apply(event, 0).cell;
+  const applied = cell.apply(ask(ticket('t1')), 1);
+  const [effect] = applied.effects;
+  assert.equal(effect.kind === 'refuse' && effect.reason, 'no-runner');
+});
+
+test.test('old news does not bring a leaving runner back', () => {
+  let cell = cellWith(server('s1'), server('s2'));
+  cell = cell.apply({kind: 'signal', runner: 's1', sign: 'leaving'}, 0).cell;
+  cell = cell.apply({kind: 'signal', runner: 's1', sign: 'live'}, 500).cell;
+  assert.equal(cell.runners[0].state, 'leaving');
+});
+
+test.test(
+  'a runner that can not be reached is tried again after a pause',
+  () => {
+    const outcome = {kind: 'unreachable'} as const;
+    let cell = cellWith(server('s1')).apply(ask(ticket('t1')), 0).cell;
+    cell = cell.apply({kind: 'done', ticketId: 't1', outcome}, 1).cell;
+    const waiting = cell.apply(ask(ticket('t2')), 2);
+    assert.deepEqual(grants(waiting), []);
+    assert.deepEqual(grants(waiting.cell.apply({kind: 'tick'}, 600)), ['t2']);
+  },
+);
+
+test.test('a suspect runs alone', () => {
+  let cell = cellWith(server('s1'), server('s2'));
+  cell = cell.apply(ask(ticket('t1')), 0).cell;
+  cell = cell.apply(ask(ticket('odd', {isSuspect: true})), 0).cell;
+  const applied = cell.apply(ask(ticket('t2')), 0);
+  const runnerOf = (id: string) =>
+    applied.cell.running.find(held => held.ticket.id === id)?.runner;
+  assert.notEqual(runnerOf('odd'), runnerOf('t1'));
+  assert.equal(runnerOf('t2'), runnerOf('t1'));
+});
+
+test.test('a new keeper grants only after hosts have reported', () => {
+  const versionsByServer = new Map<string, readonly string[]>();
+  const servers = [server('s1', 1)];
+  let cell = cells.Cell.recovering(['h1', 'h2'], 0);
+  cell = cell.apply({kind: 'configure', servers, versionsByServer}, 0).cell;
+  const asked = cell.apply(ask(ticket('t1')), 10);
+  assert.deepEqual(grants(asked), []);
+  const old = ticket('old', {host: 'h2'});
+  const held = {ticket: old, runner: 's1', grantedMs: 0};
+  cell = asked.cell;
+  cell = cell.apply({kind: 'recover', host: 'h2', running: [held]}, 20).cell;
+  const event = {kind: 'recover', host: 'h1', running: []} as const;
+  assert.deepEqual(grants(cell.apply(event, 30)), []);
+});
+
+test.test('a keeper does not wait for a host that never reports', () => {
+  const versionsByServer = new Map<string, readonly string[]>();
+  const servers = [server('s1')];
+  let cell = cells.Cell.recovering(['h9'], 0);
+  cell = cell.apply({kind: 'configure', servers, versionsByServer}, 0).cell;
+  cell = cell.apply(ask(ticket('t1')), 10).cell;
+  const applied = cell.apply({kind: 'tick'}, cells.RECOVERY_MS + 1);
+  assert.deepEqual(grants(applied), ['t1']);
+});
+
+test.test('slots of a lost host are freed after a hold', () => {
+  let cell = busyCell().apply({kind: 'host-gone', host: 'h1'}, 0).cell;
+  cell = cell.apply(ask(ticket('t2', {host: 'h2'})), 10).cell;
+  assert.equal(cell.waiting.length, 1);
+  const applied = cell.apply({kind: 'tick'}, cells.ORPHAN_HOLD_MS + 1);
+  assert.deepEqual(grants(applied), ['t2']);
+});
+
+interface Step {
+  readonly choice: number;
+  readonly id: number;
+  readonly tier: config.Tier;
+  readonly account: string;
+  readonly host: string;
+  readonly leftMs: number;
+  readonly output: number;
+  readonly waitMs: number;
+  readonly isSuspect: boolean;
+}
+
+const step: fc.Arbitrary<Step> = fc.record({
+  choice: fc.integer({min: 0, max: 99}),
+  id: fc.integer({min: 0, max: 40}),
+  tier: fc.constantFrom<config.Tier>(1, 2, 3),
+  account: fc.constantFrom('a', 'b', 'c'),
+  host: fc.constantFrom('h1', 'h2'),
+  leftMs: fc.integer({min: 200, max: 20_000}),
+  output: fc.integer({min: 1, max: 1500}),
+  waitMs: fc.integer({min: 0, max: 900}),
+  isSuspect: fc.boolean(),
+});
+
+/** The event that a step stands for at `nowMs`. */
+function eventOf(s: Step, nowMs: number): cells.CellEvent {
+  const ticketId = `t${s.id}`;
+  const runner = `s${s.id % 3}`;
+  const asked = ticket(ticketId, {
+    host: s.host,
+    account: s.account,
+    tier: s.tier,
+    deadlineMs: nowMs + s.leftMs,
+    arrivedMs: nowMs,
+    outputTokens: s.output,
+    isSuspect: s.isSuspect && s.choice % 7 === 0,
+  });
+  if (s.choice < 55) return ask(asked);
+  if (s.choice < 80) {
+    return {kind: 'done', ticketId, outcome: {kind: 'cancelled'}};
+  }
+  if (s.choice < 84) return {kind: 'cancel', ticketId};
+  if (s.choice < 88) {
+    return {kind: 'done', ticketId, outcome: {kind: 'crashed'}};
+  }
+  if (s.choice < 90) return {kind: 'host-gone', host: s.host};
+  if (s.choice < 93) return {kind: 'signal', runner, sign: 'leaving'};
+  if (s.choice < 96) return {kind: 'signal', runner, sign: 'live'};
+  return {kind: 'tick'};
+}
+
+test.test('every history keeps the promises of a cell', () => {
+  const property = fc.property(
+    fc.array(step, {minLength: 1, maxLength: 120}),
+    steps => {
+      let cell = cellWith(server('s0', 2), server('s1', 3), server('s2', 1));
+      let nowMs = 0;
+      const checks = new checker.CellChecker();
+      for (const s of steps) {
+        nowMs += s.waitMs;
+        const event = eventOf(s, nowMs);
+        const applied = cell.apply(event, nowMs);
+        checks.note(event, applied, nowMs);
+        cell = applied.cell;
+      }
+      assert.deepEqual(checks.breaches, []);
+    },
+  );
+  fc.assert(property, {seed: SEED, numRuns: RUNS});
+});
+
+test.test('the checker finds a second grant', () => {
+  const checks = new checker.CellChecker();
+  const applied = cellWith(server('s1')).apply(ask(ticket('t1')), 0);
+  checks.note({kind: 'tick'}, applied, 0);
+  checks.note({kind: 'tick'}, applied, 1);
+  assert.match(checks.breaches.join(), /granted twice/);
+});
+
+test.test('the checker finds a lower tier that is kept', () => {
+  const checks = new checker.CellChecker();
+  const cell = busyCell().apply(ask(ticket('low', {tier: 3})), 0).cell;
+  const refused = ticket('high', {tier: 1});
+  const reason = 'overloaded' as const;
+  const effect = {kind: 'refuse', ticket: refused, reason} as const;
+  const effects = [{...effect, retryAfterMs: 0}];
+  checks.note({kind: 'tick'}, {cell, effects}, 0);
+  assert.match(checks.breaches.join(), /while low waits/);
+});
+
+test.test('the checker finds a budget that is exceeded', () => {
+  const checks = new checker.CellChecker();
+  let cell = cellWith(server('s1', 1));
+  for (const id of ['t1', 't2']) {
+    const held = {ticket: ticket(id), runner: 's1', grantedMs: 0};
+    cell = cell.adopt(held);
+  }
+  checks.note({kind: 'tick'}, {cell, effects: []}, 0);
+  assert.match(checks.breaches.join(), /over its budget/);
+});
--- a/packages/decisions/src/cell.ts
+++ b/packages/decisions/src/cell.ts
@@ -89,6 +89,7 @@
   /** Slots of lost hosts, by ticket, with the time at which they are freed. */
   readonly orphans: ReadonlyMap<string, number>;
   readonly cutoff: Cutoff | undefined;
+  readonly recentUse: rank.RecentUse;
 }
 
 type Handlers = {
@@ -121,6 +122,7 @@
       recoverUntilMs: nowMs + RECOVERY_MS,
       orphans: new Map(),
       cutoff: undefined,
+      recentUse: rank.RecentUse.none,
     });
   }
 
@@ -236,13 +238,14 @@
     running.delete(ticketId);
     const orphans = new Map(this.fields.orphans);
     orphans.delete(ticketId);
+    const recentUse = this.fields.recentUse.add(held.ticket, nowMs);
     const runner = this.fields.runners.get(held.runner);
-    if (!runner) return this.with({running, orphans});
+    if (!runner) return this.with({running, orphans, recentUse});
     const freed = runner
       .release(held.ticket, tickets.slotTokens(held.ticket))
       .observe(outcome, nowMs);
     const next = new Map(this.fields.runners).set(freed.name, freed);
-    return this.with({running, orphans, runners: next});
+    return this.with({running, orphans, recentUse, runners: next});
   }
 
   /** Takes over the slots that a host reports, and frees those of its slots that it does not. */
@@ -453,11 +456,8 @@
     if (this.fields.waiting.length === 0 || this.isRecovering(nowMs)) {
       return {cell: this, effects: []};
     }
-    const capacityTokens = this.runners.reduce(
-      (sum, r) => sum + r.server.slotTokens,
-      0,
-    );
-    const usage = rank.Usage.of(this.running, this.waiting, capacityTokens);
+    const {running, waiting, recentUse} = this.fields;
+    const usage = rank.Usage.of(running.values(), waiting, recentUse, nowMs);
     const blocked = new Set<string>();
     const effects: CellEffect[] = [];
     let cell = this.with({});
--- a/packages/decisions/src/rank.ts
+++ b/packages/decisions/src/rank.ts
@@ -1,45 +1,85 @@
 import type * as config from './config.js';
 import * as tickets from './ticket.js';
 
-/** Tokens in use by account inside each tier. */
-export class Usage {
+/** How fast use in the past stops to count, in milliseconds. */
+export const USE_HALF_LIFE_MS = 10_000;
+
+const LEAST_TOKENS = 1;
+
+/** Tokens that accounts used lately, by tier; past use fades with `USE_HALF_LIFE_MS`. */
+export class RecentUse {
   private constructor(
-    private readonly tokensByKey: Map<string, number>,
-    private readonly weightByKey: Map<string, number>,
-    private readonly capacityTokens: number,
+    private readonly tokensByKey: ReadonlyMap<string, number>,
+    private readonly atMs: number,
   ) {}
 
-  /** The usage of the running tickets; waiting ones only count as claimants of a share. */
+  /** Nothing was used. */
+  static readonly none = new RecentUse(new Map(), 0);
+
+  /** The use after a ticket gave its slot back at `nowMs`. */
+  add(ticket: tickets.Ticket, nowMs: number): RecentUse {
+    const fade = this.fade(nowMs);
+    const tokens = new Map<string, number>();
+    for (const [key, used] of this.tokensByKey) {
+      if (used * fade >= LEAST_TOKENS) tokens.set(key, used * fade);
+    }
+    const key = usageKey(ticket.tier, ticket.account);
+    tokens.set(key, (tokens.get(key) ?? 0) + tickets.slotTokens(ticket));
+    return new RecentUse(tokens, nowMs);
+  }
+
+  /** The tokens that an account used lately in a tier. */
+  tokens(key: string, nowMs: number): number {
+    return (this.tokensByKey.get(key) ?? 0) * this.fade(nowMs);
+  }
+
+  private fade(nowMs: number): number {
+    return 2 ** (-(nowMs - this.atMs) / USE_HALF_LIFE_MS);
+  }
+}
+
+interface Account {
+  readonly tier: config.Tier;
+  readonly weight: number;
+  readonly tokens: number;
+}
+
+/** How much each account uses of its tier, now and lately, against its fair share. */
+export class Usage {
+  private constructor(private readonly accounts: Map<string, Account>) {}
+
+  /** The usage of the accounts that run or wait. */
   static of(
     running: Iterable<tickets.Running>,
     waiting: readonly tickets.Ticket[],
-    capacityTokens: number,
+    recent: RecentUse,
+    nowMs: number,
   ): Usage {
-    const usage = new Usage(new Map(), new Map(), capacityTokens);
-    for (const ticket of waiting) usage.count(ticket, 0);
-    for (const {ticket} of running) {
-      usage.count(ticket, tickets.slotTokens(ticket));
-    }
+    const usage = new Usage(new Map());
+    const enter = (ticket: tickets.Ticket, tokens: number) => {
+      const {tier, weight} = ticket;
+      const key = usageKey(tier, ticket.account);
+      const before =
+        usage.accounts.get(key)?.tokens ?? recent.tokens(key, nowMs);
+      usage.accounts.set(key, {tier, weight, tokens: before + tokens});
+    };
+    for (const ticket of waiting) enter(ticket, 0);
+    for (const {ticket} of running) enter(ticket, tickets.slotTokens(ticket));
     return usage;
   }
 
-  /** True when the ticket's account already has more than its fair share of the tier. */
+  /** True when the ticket's account has more than its fair share of what its tier uses. */
   isOverShare(ticket: tickets.Ticket): boolean {
-    const tier = ticket.tier;
     let totalWeight = 0;
-    for (const [key, weight] of this.weightByKey) {
-      if (key.startsWith(`${tier}/`)) totalWeight += weight;
+    let totalTokens = 0;
+    for (const {tier, weight, tokens} of this.accounts.values()) {
+      if (tier !== ticket.tier) continue;
+      totalWeight += weight;
+      totalTokens += tokens;
     }
-    const share = (this.capacityTokens * ticket.weight) / totalWeight;
-    const used = this.tokensByKey.get(usageKey(tier, ticket.account)) ?? 0;
-    return used >= share;
-  }
-
-  /** Counts one more ticket of `tokens`; for the scheduling round that owns this usage. */
-  count(ticket: tickets.Ticket, tokens: number): void {
-    const key = usageKey(ticket.tier, ticket.account);
-    this.tokensByKey.set(key, (this.tokensByKey.get(key) ?? 0) + tokens);
-    this.weightByKey.set(key, ticket.weight);
+    const own = this.accounts.get(usageKey(ticket.tier, ticket.account));
+    const share = (totalTokens * ticket.weight) / totalWeight;
+    return (own?.tokens ?? 0) > share + LEAST_TOKENS;
   }
 }
 
--- /dev/null
+++ b/packages/decisions/src/suspects.test.ts
@@ -0,0 +1,61 @@
+import * as assert from 'node:assert/strict';
+import * as test from 'node:test';
+
+import * as fc from 'fast-check';
+
+import * as suspects from './suspects.js';
+
+const SEED = 20261204;
+
+function crash(
+  crashId: string,
+  atMs: number,
+  backendServer: string,
+  ...fingerprints: readonly string[]
+): suspects.Crash {
+  return {crashId, atMs, backendServer, fingerprints};
+}
+
+const once = suspects.Suspects.empty.add(crash('c1', 0, 's1', 'bad', 'good'));
+
+test.test('a request at two crashes is refused, at one it is a suspect', () => {
+  const twice = once.add(crash('c2', 9000, 's2', 'bad'));
+  assert.equal(twice.standing('bad'), 'refused');
+  assert.equal(twice.standing('good'), 'suspect');
+  assert.equal(twice.standing('other'), 'clear');
+});
+
+test.test('reports of one crash by several hosts count once', () => {
+  const both = once.add(crash('c2', 500, 's1', 'bad'));
+  assert.equal(both.standing('bad'), 'suspect');
+});
+
+test.test('a bystander that completes is cleared', () => {
+  const cleared = once.complete('good', 100);
+  assert.equal(cleared.standing('good'), 'clear');
+  assert.equal(cleared.standing('bad'), 'suspect');
+});
+
+test.test('old crashes are dropped', () => {
+  const later = once.expire(suspects.SUSPECT_KEEP_MS + 1);
+  assert.equal(later.standing('bad'), 'clear');
+});
+
+test.test('the order and repetition of reports do not matter', () => {
+  const report = fc.record({
+    id: fc.integer({min: 0, max: 9}),
+    server: fc.constantFrom('s1', 's2'),
+  });
+  const property = fc.property(fc.array(report, {maxLength: 20}), reports => {
+    const crashes = reports.map(({id, server}) =>
+      crash(`${server}-${id}`, id * 10_000, server, 'f'),
+    );
+    const forward = crashes.reduce((s, c) => s.add(c), suspects.Suspects.empty);
+    const backward = [...crashes, ...crashes].reduceRight(
+      (s, c) => s.add(c),
+      suspects.Suspects.empty,
+    );
+    assert.equal(forward.standing('f'), backward.standing('f'));
+  });
+  fc.assert(property, {seed: SEED});
+});
--- a/packages/peers/src/messages.ts
+++ b/packages/peers/src/messages.ts
@@ -49,12 +49,18 @@
   return Buffer.from(wire.Batch.encode(batch).finish());
 }
 
-/** Decodes a batch; throws on bytes that are none, skips kinds it does not know. */
+/**
+ * Decodes a batch; throws on bytes that are none, skips kinds it does not
+ * know. Fields that were zero or empty are present, as every reader expects.
+ */
 export function decode(bytes: Buffer): readonly Item[] {
   const items: Item[] = [];
-  for (const item of wire.Batch.decode(bytes).items) {
-    const kind = (item as peer.banyanhall.peer.Item).kind;
-    if (kind) items.push({kind, body: item[kind]} as Item);
+  const decoded = wire.Batch.decode(bytes).items;
+  for (const item of decoded as peer.banyanhall.peer.Item[]) {
+    const {kind} = item;
+    if (!kind) continue;
+    const plain = wire.Item.toObject(item, {defaults: true});
+    items.push({kind, body: plain[kind]} as Item);
   }
   return items;
 }
