--- a/eslint.config.js
+++ b/eslint.config.js
@@ -7,6 +7,9 @@
   ...gts,
   {
     files: ['packages/*/src/**/*.ts'],
+    languageOptions: {
+      parserOptions: {project: ['packages/*/tsconfig.json']},
+    },
     rules: {
       'no-restricted-syntax': [
         'error',
--- a/packages/daemon/src/slots.ts
+++ b/packages/daemon/src/slots.ts
@@ -235,6 +235,7 @@
     }
     this.pending.delete(refuse.ticketId);
     const reason = refuse.reason as decisions.cell.RefusalReason;
+    this.options.timeline.record('refused', refuse.ticketId, {reason, tier});
     pending.reject(failed(REFUSALS[reason](refuse.retryAfterMs)));
   }
 
--- a/packages/standins/src/engine.ts
+++ b/packages/standins/src/engine.ts
@@ -131,14 +131,16 @@
   }
 
   private note(stream: batches.Stream, nowMs: number): void {
-    this.runs.push({
+    const run: Run = {
       streamId: stream.id,
       version: stream.version,
       atMs: nowMs,
       promptTail: stream.prompt.slice(-40),
       promptTokens: stream.promptTokens,
       cachedTokens: stream.cachedTokens,
-    });
+    };
+    this.runs.push(run);
+    console.log(JSON.stringify({run}));
     const isLost = this.runs.length % CACHE_EVENT_LOSS === 0;
     if (!isLost) {
       this.cacheEvents.push({streamId: stream.id, tokens: stream.promptTokens});
--- a/packages/standins/src/plain.ts
+++ b/packages/standins/src/plain.ts
@@ -83,7 +83,10 @@
       return;
     }
     const key = ctx.get('idempotency-key');
-    if (hasEffect) this.effects.set(key, (this.effects.get(key) ?? 0) + 1);
+    if (hasEffect) {
+      this.effects.set(key, (this.effects.get(key) ?? 0) + 1);
+      console.log(JSON.stringify({effect: {key, atMs: Date.now()}}));
+    }
     this.running++;
     await new Promise(resolve => setTimeout(resolve, delayMs));
     this.running--;
--- a/packages/trials/src/fleet.ts
+++ b/packages/trials/src/fleet.ts
@@ -4,6 +4,7 @@
 import got from 'got';
 
 import * as processes from './processes.js';
+import * as relays from './relay.js';
 
 const SECRET = 'trial-fleet-secret-0001';
 const OPERATOR_KEY = 'trial-operator-key';
@@ -21,6 +22,24 @@
   readonly detail: Readonly<Record<string, string | number | boolean>>;
 }
 
+/** A request that a model engine took in. */
+export interface DoneRun {
+  readonly backend: string;
+  readonly streamId: string;
+  readonly version: string;
+  readonly atMs: number;
+  readonly promptTail: string;
+  readonly promptTokens: number;
+  readonly cachedTokens: number;
+}
+
+/** An effect that a plain service had. */
+export interface DoneEffect {
+  readonly backend: string;
+  readonly key: string;
+  readonly atMs: number;
+}
+
 /** A daemon of the fleet. */
 export interface Host {
   readonly name: string;
@@ -29,6 +48,10 @@
   readonly callerUrl: string;
   readonly operatorUrl: string;
   readonly peerAddress: string;
+  /** Where other hosts connect: a relay before `peerAddress` that can be cut. */
+  readonly peerRelay: relays.Relay;
+  /** What the host takes for the platform: a relay that can be cut. */
+  readonly platformRelay: relays.Relay;
   process: processes.Started;
 }
 
@@ -82,6 +105,8 @@
   readonly backends: Backend[] = [];
   readonly events: FleetEvent[] = [];
   readonly logLines: string[] = [];
+  readonly runs: DoneRun[] = [];
+  readonly effects: DoneEffect[] = [];
   platformUrl = '';
   private platformProcess: processes.Started | undefined;
 
@@ -115,15 +140,27 @@
     await got.post(`${this.platformUrl}/fault`, {json: behaviour});
   }
 
+  /** Changes what the platform's lagging list says of a backend server. */
+  async listed(name: string, state: 'live' | 'leaving'): Promise<void> {
+    await got.post(`${this.platformUrl}/list`, {json: {name, state}});
+  }
+
+  /** Starts every backend server again that has ended. */
+  async reviveBackends(): Promise<void> {
+    for (const backend of this.backends) {
+      const {exitCode, signalCode} = backend.process.child;
+      if (exitCode === null && signalCode === null) continue;
+      await this.restartBackend(backend);
+    }
+  }
+
   /** Starts a backend server again at its old address. */
   async restartBackend(backend: Backend): Promise<void> {
-    const {port} = new URL(backend.server.url);
-    backend.process = await processes.startStandInAt(
-      backend.name,
-      backend.kind,
-      Number(port),
-      backend.behaviour,
-    );
+    const {name, kind, behaviour} = backend;
+    const port = Number(new URL(backend.server.url).port);
+    const onLine = (line: string) => this.noteDone(name, line);
+    const options = {name, kind, port, behaviour, onLine};
+    backend.process = await processes.startStandIn(options);
   }
 
   /** Starts one more host, or one that has ended again. */
@@ -143,6 +180,10 @@
       callerUrl: `http://127.0.0.1:${caller}`,
       operatorUrl: `http://127.0.0.1:${operator}`,
       peerAddress: `127.0.0.1:${peer}`,
+      peerRelay: await relays.Relay.to(peer),
+      platformRelay: await relays.Relay.to(
+        Number(new URL(this.platformUrl).port),
+      ),
     };
     const started: Host = {...host, process: this.spawnHost(host)};
     this.hosts.push(started);
@@ -207,17 +248,22 @@
       child.kill('SIGKILL');
     }
     await Promise.all(all.map(({ended}) => ended));
+    for (const {peerRelay, platformRelay} of this.hosts) {
+      peerRelay.close();
+      platformRelay.close();
+    }
   }
 
   private async startAll(): Promise<void> {
     const {plan} = this;
-    const platform = await processes.startStandIn(
-      'platform',
-      'platform',
-      plan.platform,
-    );
-    this.platformProcess = platform.started;
-    this.platformUrl = `http://127.0.0.1:${platform.port}`;
+    const [port] = await processes.freePorts(1);
+    this.platformProcess = await processes.startStandIn({
+      name: 'platform',
+      kind: 'platform',
+      port,
+      behaviour: plan.platform,
+    });
+    this.platformUrl = `http://127.0.0.1:${port}`;
     for (const service of plan.services) await this.startService(service);
     for (let i = 0; i < plan.hosts; i++) await this.startHost(i);
     await Promise.all(this.hosts.map(host => this.ready(host)));
@@ -228,11 +274,10 @@
     const kind = service.kind === 'model' ? 'engine' : 'plain';
     for (const [index, behaviour] of service.behaviours.entries()) {
       const name = `${service.name}-${index + 1}`;
-      const {started, port} = await processes.startStandIn(
-        name,
-        kind,
-        behaviour,
-      );
+      const [port] = await processes.freePorts(1);
+      const onLine = (line: string) => this.noteDone(name, line);
+      const options = {name, kind, port, behaviour, onLine};
+      const started = await processes.startStandIn(options);
       const {slotTokens, maxRunning} = service;
       const place = this.plan.places[index % this.plan.places.length];
       const url = `http://127.0.0.1:${port}`;
@@ -300,7 +345,7 @@
   }
 
   private spawnHost(host: Omit<Host, 'process'>): processes.Started {
-    const {plan, platformUrl} = this;
+    const {plan} = this;
     const digest = crypto.createHash('sha256').update(OPERATOR_KEY);
     return processes.start({
       name: host.name,
@@ -312,7 +357,8 @@
         ...['--caller-listen', new URL(host.callerUrl).host],
         ...['--operator-listen', new URL(host.operatorUrl).host],
         ...['--peer-listen', host.peerAddress],
-        ...['--platform-url', platformUrl],
+        ...['--peer-address', `127.0.0.1:${host.peerRelay.port}`],
+        ...['--platform-url', `http://127.0.0.1:${host.platformRelay.port}`],
         ...['--address-keep-ms', String(plan.addressKeepMs)],
         ...['--operator-key-sha256', digest.digest('hex')],
         ...['--timeline-log', plan.keepsTimeline ? 'on' : 'off'],
@@ -323,6 +369,15 @@
     });
   }
 
+  private noteDone(backend: string, line: string): void {
+    const done = JSON.parse(line) as {
+      readonly run?: Omit<DoneRun, 'backend'>;
+      readonly effect?: Omit<DoneEffect, 'backend'>;
+    };
+    if (done.run) this.runs.push({backend, ...done.run});
+    if (done.effect) this.effects.push({backend, ...done.effect});
+  }
+
   private noteEvent(line: string): void {
     try {
       this.events.push(JSON.parse(line) as FleetEvent);
--- a/packages/trials/src/processes.ts
+++ b/packages/trials/src/processes.ts
@@ -47,34 +47,28 @@
   return {name, child, ended};
 }
 
-/** Starts a stand-in and resolves to it and its port once it listens. */
-export async function startStandIn(
-  name: string,
-  kind: string,
-  behaviour: object,
-  versions = 'v1',
-): Promise<{readonly started: Started; readonly port: number}> {
-  const [port] = await freePorts(1);
-  const started = await startStandInAt(name, kind, port, behaviour, versions);
-  return {started, port};
+/** What a stand-in is started with. */
+export interface StandInOptions {
+  readonly name: string;
+  readonly kind: string;
+  readonly port: number;
+  readonly behaviour: object;
+  /** Gets what the stand-in says that it did. */
+  readonly onLine?: (line: string) => void;
 }
 
-/** Starts a stand-in at a given port. */
-export function startStandInAt(
-  name: string,
-  kind: string,
-  port: number,
-  behaviour: object,
-  versions = 'v1',
-): Promise<Started> {
+/** Starts a stand-in; resolves once it listens. */
+export function startStandIn(options: StandInOptions): Promise<Started> {
+  const {name, kind, port, behaviour, onLine} = options;
   return new Promise((resolve, reject) => {
     const errors: string[] = [];
     const started = start({
       name,
       script: scriptPath('standins', 'main.js'),
-      args: [kind, String(port), JSON.stringify(behaviour), versions],
+      args: [kind, String(port), JSON.stringify(behaviour)],
       onLine: line => {
         if (LISTENING.test(line)) resolve(started);
+        else onLine?.(line);
       },
       onErrorLine: line => errors.push(line),
     });
--- /dev/null
+++ b/packages/trials/src/relay.ts
@@ -0,0 +1,70 @@
+import * as net from 'node:net';
+
+/** How a relay treats what passes: `silent` keeps connections open but passes nothing, `cut` closes them. */
+export type RelayState = 'open' | 'silent' | 'cut';
+
+/** A TCP relay on loopback that stands for a network which can fail. */
+export class Relay {
+  private state: RelayState = 'open';
+  private readonly pairs = new Set<readonly [net.Socket, net.Socket]>();
+
+  private constructor(
+    private readonly server: net.Server,
+    readonly port: number,
+  ) {}
+
+  /** A relay to a port on loopback. */
+  static to(targetPort: number): Promise<Relay> {
+    const server = net.createServer();
+    return new Promise(resolve => {
+      server.listen(0, '127.0.0.1', () => {
+        const {port} = server.address() as net.AddressInfo;
+        const relay = new Relay(server, port);
+        server.on('connection', socket => relay.join(socket, targetPort));
+        resolve(relay);
+      });
+    });
+  }
+
+  /** Changes what happens to present connections, and to new ones unless it is `silent`. */
+  set(state: RelayState): void {
+    this.state = state;
+    for (const [near, far] of this.pairs) {
+      if (state === 'cut') {
+        near.destroy();
+        far.destroy();
+      } else if (state === 'silent') {
+        near.pause();
+        far.pause();
+        near.unpipe();
+        far.unpipe();
+      }
+    }
+  }
+
+  /** Closes everything. */
+  close(): void {
+    this.set('cut');
+    this.server.close();
+  }
+
+  /** New connections work while old ones are silent, as when something between the ends has lost track of them. */
+  private join(near: net.Socket, targetPort: number): void {
+    if (this.state === 'cut') return void near.destroy();
+    const far = net.connect(targetPort, '127.0.0.1');
+    const pair = [near, far] as const;
+    this.pairs.add(pair);
+    const end = () => {
+      this.pairs.delete(pair);
+      near.destroy();
+      far.destroy();
+    };
+    for (const socket of pair) {
+      socket.setNoDelay(true);
+      socket.on('error', end);
+      socket.on('close', end);
+    }
+    near.pipe(far);
+    far.pipe(near);
+  }
+}
