Join again while the store is away; daemon tests over a fake fleet

A host started during a store outage looked for the others once and then not for 30 s; it now tries with every tick until it has read and written its lease. The trial itself also waited for the host before it healed the store; it now waits after.

--- a/packages/daemon/src/keeper.ts
+++ b/packages/daemon/src/keeper.ts
@@ -135,6 +135,11 @@
     }));
   }
 
+  /** Every ticket that waits in a kept cell. */
+  waitingTickets(): readonly decisions.ticket.Ticket[] {
+    return [...this.cells.values()].flatMap(({cell}) => cell.waiting);
+  }
+
   private apply(name: string, event: decisions.cell.CellEvent): void {
     const kept = this.kept(name);
     if (!kept) return this.refuseUnknown(name, event);
--- a/packages/daemon/src/members.ts
+++ b/packages/daemon/src/members.ts
@@ -60,6 +60,8 @@
   private readonly timers: NodeJS.Timeout[] = [];
   private sequence = 0;
   private lastScanMs = -Infinity;
+  /** False until the table was read and written since the start; tried again with every tick. */
+  private hasJoined = false;
 
   constructor(private readonly options: MembersOptions) {
     this.membership = decisions.membership.Membership.of(options.self);
@@ -89,9 +91,7 @@
    * start at once one finds the other. Starts probing.
    */
   async start(): Promise<void> {
-    await this.renew();
-    await this.scan();
-    this.spread([this.membership.self]);
+    await this.join();
     this.timers.push(
       setInterval(() => this.tick(), PROBE_MS),
       setInterval(() => void this.renew(), RENEW_MS),
@@ -204,6 +204,7 @@
       this.noteProbe(false);
     }
     this.merged(this.membership.tick(nowMs));
+    if (!this.hasJoined) void this.join();
     const others = this.membership.members.slice(1).map(m => m.host);
     const {random} = this.options;
     for (const host of decisions.random.sample(others, PROBES_EACH, random)) {
@@ -239,28 +240,36 @@
     this.options.onChange();
   }
 
-  private async renew(): Promise<void> {
+  private async join(): Promise<void> {
+    this.hasJoined = (await this.renew()) && (await this.scan());
+    if (this.hasJoined) this.spread([this.membership.self]);
+  }
+
+  private async renew(): Promise<boolean> {
     const {self} = this.membership;
-    if (self.state === 'leaving') return;
+    if (self.state === 'leaving') return false;
     const expiresAtMs = this.options.clock.nowMs() + LEASE_MS;
     const value: Lease = {member: self, expiresAtMs};
-    await this.options.table.commit({
+    const result = await this.options.table.commit({
       conditions: [],
       writes: [{key: LEASE_PREFIX + self.host, value}],
     });
+    return result.kind === 'committed';
   }
 
-  private async scan(): Promise<void> {
-    if (this.nowMs - this.lastScanMs < MIN_SCAN_GAP_MS) return;
+  private async scan(): Promise<boolean> {
+    if (this.nowMs - this.lastScanMs < MIN_SCAN_GAP_MS) return false;
     this.lastScanMs = this.nowMs;
     const rows = await this.options.table
       .scan(LEASE_PREFIX, '', SCAN_LIMIT)
-      .catch(() => []);
+      .catch(() => undefined);
+    if (!rows) return false;
     for (const row of rows) {
       const lease = row.value as Lease;
       if (lease.expiresAtMs < this.options.clock.nowMs()) continue;
       if (this.membership.get(lease.member.host)?.state === 'dead') continue;
       this.merged(this.membership.merge(lease.member, this.nowMs));
     }
+    return true;
   }
 }
--- /dev/null
+++ b/packages/daemon/src/slots.test.ts
@@ -0,0 +1,296 @@
+import * as assert from 'node:assert/strict';
+import * as test from 'node:test';
+
+import * as decisions from '@banyanhall/decisions';
+import type * as peers from '@banyanhall/peers';
+import * as fc from 'fast-check';
+
+import * as keepers from './keeper.js';
+import * as slotsModule from './slots.js';
+import * as timelines from './timeline.js';
+
+const SEED = 20261204;
+const RUNS = 60;
+const ZONES = ['z1', 'z2', 'z3'];
+const SERVERS_EACH = 6;
+
+interface TestHost {
+  readonly name: string;
+  readonly keeper: keepers.Keeper;
+  readonly slots: slotsModule.Slots;
+}
+
+interface Sent {
+  readonly from: string;
+  readonly to: string;
+  readonly item: peers.messages.Item;
+}
+
+const ACCOUNT: decisions.config.Account = {
+  name: 'a',
+  keySha256: '',
+  profiles: [],
+  maxInFlight: 1,
+  weight: 1,
+};
+
+/** A service with a cell in each of three zones. */
+const SERVICE: decisions.config.Service = {
+  name: 's',
+  kind: 'model',
+  version: 'v1',
+  fencing: 'checked',
+  backendServers: ZONES.flatMap(zone =>
+    Array.from({length: SERVERS_EACH}, (_, i) => ({
+      name: `${zone}-${i}`,
+      url: 'http://none',
+      region: 'r',
+      zone,
+      slotTokens: 1000,
+      maxRunning: 1,
+    })),
+  ),
+};
+
+/** Hosts whose messages pass in order through one queue, with a clock that the test moves. */
+class TestFleet {
+  readonly clock = new decisions.clock.FakeClock(0);
+  readonly hosts = new Map<string, TestHost>();
+  members: readonly decisions.membership.Member[];
+  private readonly queue: Sent[] = [];
+
+  constructor(names: readonly string[]) {
+    this.members = names.map((host, i) => ({
+      host,
+      region: 'r',
+      zone: ZONES[i % ZONES.length],
+      callerUrl: '',
+      peerAddress: '',
+      incarnation: 1,
+      state: 'serving',
+    }));
+    for (const name of names) this.hosts.set(name, this.host(name));
+    for (const {slots} of this.hosts.values()) slots.onMembers();
+    this.deliver();
+    this.clock.advance(decisions.cell.RECOVERY_MS);
+  }
+
+  /** Delivers messages until none is left. */
+  deliver(): void {
+    for (;;) {
+      const sent = this.queue.shift();
+      if (!sent) return;
+      const host = this.hosts.get(sent.to);
+      if (host) receive(host, sent);
+    }
+  }
+
+  /** Takes a host away; the others see it at once. */
+  kill(name: string): void {
+    this.hosts.delete(name);
+    this.members = this.members.filter(member => member.host !== name);
+    for (const {keeper, slots} of this.hosts.values()) {
+      keeper.onGone(name);
+      slots.onMembers();
+    }
+    this.deliver();
+  }
+
+  /** How many tickets wait in all cells, in this tier or a lower one. */
+  waitingBelow(tier: number): number {
+    let count = 0;
+    for (const {keeper} of this.hosts.values()) {
+      for (const ticket of keeper.waitingTickets()) {
+        if (ticket.tier > tier) count++;
+      }
+    }
+    return count;
+  }
+
+  private host(name: string): TestHost {
+    const router = {
+      send: (to: string, item: peers.messages.Item) => {
+        this.queue.push({from: name, to, item});
+        return true;
+      },
+    };
+    const config = decisions.config.Config.restore(1, [
+      {entry: 'service', name: SERVICE.name, value: SERVICE},
+    ]);
+    const zone = this.members.find(m => m.host === name)?.zone ?? '';
+    const common = {
+      host: name,
+      clock: this.clock,
+      router: router as never,
+      timeline: new timelines.Timeline(name),
+      config: () => config,
+      serving: () => this.members,
+    };
+    const none = {} as never;
+    return {
+      name,
+      keeper: new keepers.Keeper({...common, backends: none, hostList: none}),
+      slots: new slotsModule.Slots({...common, region: 'r', zone}),
+    };
+  }
+}
+
+function receive({keeper, slots}: TestHost, {from, item}: Sent): void {
+  const handlers: Partial<Record<string, () => void>> = {
+    ask: () => keeper.onAsk(from, item.body as never),
+    withdraw: () => keeper.onWithdraw(from, item.body as never),
+    done: () => keeper.onDone(from, item.body as never),
+    hold: () => keeper.onHold(from, item.body as never),
+    grant: () => slots.onGrant(from, item.body as never),
+    refuse: () => slots.onRefuse(from, item.body as never),
+  };
+  handlers[item.kind]?.();
+}
+
+interface Asked {
+  readonly id: string;
+  readonly host: TestHost;
+  readonly tier: number;
+  grant?: slotsModule.Grant;
+  failure?: string;
+}
+
+let serial = 0;
+
+/** Asks for a slot at a host; the result is noted when it comes. */
+function ask(
+  fleet: TestFleet,
+  host: TestHost,
+  tier: decisions.config.Tier,
+  leftMs: number,
+  outputTokens = 100,
+): Asked {
+  serial++;
+  const asked: Asked = {id: `r${serial}`, host, tier};
+  const wanted = {
+    requestId: asked.id,
+    service: SERVICE,
+    account: ACCOUNT,
+    tier,
+    deadlineMs: fleet.clock.monotonicMs() + leftMs,
+    promptTokens: 10,
+    outputTokens,
+    chain: [],
+    version: '',
+    isSuspect: false,
+  };
+  void host.slots.acquire(wanted, new AbortController().signal).then(
+    grant => {
+      asked.grant = grant;
+    },
+    (error: decisions.verdict.FailureError) => {
+      asked.failure = error.failure.type;
+    },
+  );
+  return asked;
+}
+
+function anyHost(fleet: TestFleet, index: number): TestHost {
+  const hosts = [...fleet.hosts.values()];
+  return hosts[index % hosts.length];
+}
+
+const settled = () => new Promise(resolve => setImmediate(resolve));
+
+const NAMES = ['h1', 'h2', 'h3', 'h4', 'h5', 'h6'];
+
+test.test('a free fleet grants at once, in the own zone', async () => {
+  const fleet = new TestFleet(NAMES);
+  const asked = ask(fleet, anyHost(fleet, 0), 3, 60_000);
+  fleet.deliver();
+  await settled();
+  assert.equal(asked.grant?.server.zone, 'z1');
+});
+
+test.test(
+  'a higher tier is refused only after every cell gave up lower ones',
+  async () => {
+    const fleet = new TestFleet(NAMES);
+    const low: Asked[] = [];
+    for (let i = 0; i < 60; i++) {
+      low.push(ask(fleet, anyHost(fleet, i), 3, 60_000));
+      fleet.deliver();
+    }
+    await settled();
+    assert.ok(low.filter(each => !each.grant && !each.failure).length > 10);
+    const high = ask(fleet, anyHost(fleet, 0), 1, 2800);
+    fleet.deliver();
+    await settled();
+    assert.equal(high.failure, 'overloaded');
+    assert.equal(fleet.waitingBelow(1), 0);
+  },
+);
+
+/** Gives every granted slot back, again and again, until nothing is granted any more. */
+async function finishAll(fleet: TestFleet, all: readonly Asked[]) {
+  const done = new Set<Asked>();
+  for (;;) {
+    fleet.deliver();
+    await settled();
+    const ready = all.filter(each => each.grant && !done.has(each));
+    if (ready.length === 0) return;
+    for (const each of ready) {
+      done.add(each);
+      each.host.slots.done(each.id, {kind: 'cancelled'});
+    }
+  }
+}
+
+test.test('what waits is handed on when its keeper is lost', async () => {
+  const fleet = new TestFleet(NAMES);
+  const all: Asked[] = [];
+  const host = anyHost(fleet, 0);
+  for (let i = 0; i < 30; i++) all.push(ask(fleet, host, 2, 60_000));
+  fleet.deliver();
+  for (const name of NAMES.slice(1, 5)) fleet.kill(name);
+  fleet.clock.advance(decisions.cell.RECOVERY_MS);
+  await finishAll(fleet, all);
+  assert.ok(all.every(each => each.grant));
+});
+
+const step = fc.record({
+  host: fc.nat(20),
+  tier: fc.constantFrom<decisions.config.Tier>(1, 2, 3),
+  leftMs: fc.integer({min: 500, max: 15_000}),
+  output: fc.integer({min: 10, max: 400}),
+  waitMs: fc.integer({min: 0, max: 300}),
+  finishes: fc.nat(3),
+  kills: fc.integer({min: 0, max: 99}),
+});
+
+test.test('no tier is shed while a lower one waits anywhere', async () => {
+  const property = fc.asyncProperty(
+    fc.array(step, {minLength: 30, maxLength: 150}),
+    async steps => {
+      const fleet = new TestFleet(NAMES);
+      const all: Asked[] = [];
+      for (const s of steps) {
+        fleet.clock.advance(s.waitMs);
+        if (s.kills === 0 && fleet.hosts.size > 2) {
+          fleet.kill(anyHost(fleet, s.host).name);
+        }
+        const host = anyHost(fleet, s.host);
+        const before = new Set(all.filter(each => each.failure));
+        all.push(ask(fleet, host, s.tier, s.leftMs, s.output));
+        fleet.deliver();
+        for (const each of all.filter(a => a.grant).slice(0, s.finishes)) {
+          each.host.slots.done(each.id, {kind: 'cancelled'});
+          fleet.deliver();
+        }
+        await settled();
+        const refused = all.filter(
+          each => each.failure === 'overloaded' && !before.has(each),
+        );
+        for (const each of refused) {
+          assert.equal(fleet.waitingBelow(each.tier), 0, each.id);
+        }
+      }
+    },
+  );
+  await fc.assert(property, {seed: SEED, numRuns: RUNS});
+});
--- /dev/null
+++ b/packages/trials/src/checks.test.ts
@@ -0,0 +1,164 @@
+import * as assert from 'node:assert/strict';
+import * as test from 'node:test';
+
+import * as standins from '@banyanhall/standins';
+
+import type * as callers from './caller.js';
+import * as checks from './checks.js';
+import type * as fleets from './fleet.js';
+
+const NOTHING: checks.Record = {
+  attempts: [],
+  events: [],
+  runs: [],
+  effects: [],
+  leaving: [],
+  stops: [],
+  killers: [],
+};
+
+const TOLD: callers.Told = {
+  verdict: 'ran',
+  failure: '',
+  text: '',
+  isWhole: true,
+  firstTokenMs: 1,
+  durationMs: 10,
+  gapsMs: [],
+  resumes: 0,
+  status: 200,
+};
+
+function attempt(
+  key: string,
+  told: Partial<callers.Told>,
+  change: Partial<checks.Attempt> = {},
+): checks.Attempt {
+  return {
+    key,
+    kind: 'plain',
+    prompt: '',
+    maxTokens: 0,
+    sentAtMs: 0,
+    told: {...TOLD, ...told},
+    ...change,
+  };
+}
+
+let seq = 0;
+
+function event(
+  kind: string,
+  requestId: string,
+  atMs: number,
+  detail: fleets.FleetEvent['detail'] = {},
+): fleets.FleetEvent {
+  seq++;
+  return {host: 'h1', seq, atMs, kind, requestId, detail};
+}
+
+function run(streamId: string, promptTail = ''): fleets.DoneRun {
+  const tokens = {promptTokens: 1, cachedTokens: 0};
+  return {
+    backend: 'e1',
+    streamId,
+    version: 'v1',
+    atMs: 0,
+    promptTail,
+    ...tokens,
+  };
+}
+
+function effect(key: string): fleets.DoneEffect {
+  return {backend: 'p1', key, atMs: 0};
+}
+
+/** The promises that a record breaks. */
+function broken(change: Partial<checks.Record>): readonly string[] {
+  const breaches = checks.check({...NOTHING, ...change});
+  return [...new Set(breaches.map(breach => breach.promise))];
+}
+
+test.test('a record without faults breaks nothing', () => {
+  const prompt = 'request 7';
+  const text = standins.batch.answerText(prompt, 3);
+  const chat = {kind: 'chat' as const, prompt, maxTokens: 3};
+  assert.deepEqual(
+    broken({
+      attempts: [attempt('7', {text}, chat), attempt('k', {})],
+      runs: [run('r1', prompt)],
+      effects: [effect('k')],
+      events: [event('dispatched', 'r1', 0), event('answered', 'r1', 5)],
+    }),
+    [],
+  );
+});
+
+test.test('a stream that ran twice is found', () => {
+  assert.deepEqual(broken({runs: [run('r1'), run('r1')]}), ['dispatched-once']);
+});
+
+test.test('a second dispatch without a refusal is found', () => {
+  const events = [event('dispatched', 'r1', 0), event('dispatched', 'r1', 1)];
+  assert.deepEqual(broken({events}), ['dispatched-once']);
+  const refused = event('not-admitted', 'r1', 0);
+  const proved = [events[0], refused, event('dispatched', 'r1', 1)];
+  assert.deepEqual(broken({events: proved}), []);
+});
+
+test.test('a second effect is found', () => {
+  assert.deepEqual(broken({effects: [effect('k'), effect('k')]}), [
+    'effect-once',
+  ]);
+});
+
+test.test('a false not-run is found', () => {
+  const attempts = [attempt('k', {verdict: 'not-run', isWhole: false})];
+  assert.deepEqual(broken({attempts, effects: [effect('k')]}), [
+    'not-run-is-true',
+  ]);
+});
+
+test.test('a not-run after an attempt that may have run is allowed', () => {
+  const attempts = [
+    attempt('k', {verdict: 'may-have-run', isWhole: false}),
+    attempt('k', {verdict: 'not-run', isWhole: false}),
+  ];
+  assert.deepEqual(broken({attempts, effects: [effect('k')]}), []);
+});
+
+test.test('an answer that is not whole is found', () => {
+  const chat = {kind: 'chat' as const, prompt: 'request 7', maxTokens: 3};
+  const attempts = [attempt('7', {text: 'other'}, chat)];
+  assert.deepEqual(broken({attempts}), ['whole-answers']);
+});
+
+test.test('a lower tier kept while a higher one is shed is found', () => {
+  const events = [
+    event('received', 'low', 0, {tier: 3, service: 's'}),
+    event('received', 'high', 10, {tier: 1, service: 's'}),
+    event('refused', 'high', 1000, {reason: 'overloaded'}),
+    event('granted', 'low', 2000),
+  ];
+  assert.deepEqual(broken({events}), ['tier-order']);
+});
+
+test.test('a dispatch to a leaving backend server is found', () => {
+  const leaving = [{name: 'e1', fromMs: 100, toMs: 900}];
+  const events = [event('dispatched', 'r1', 500, {server: 'e1'})];
+  assert.deepEqual(broken({events, leaving}), ['leaving-gets-nothing']);
+});
+
+test.test('a request cut off by a planned stop is found', () => {
+  const stops = [{name: 'h1', fromMs: 0, toMs: 100}];
+  const told = {verdict: 'none' as const, isWhole: false};
+  assert.deepEqual(broken({attempts: [attempt('k', told)], stops}), [
+    'planned-stop-cuts-nothing',
+  ]);
+});
+
+test.test('a third run of a killer is found', () => {
+  const killers = ['k1'];
+  const runs = ['a', 'b', 'c'].map(id => run(id, 'request k1'));
+  assert.deepEqual(broken({killers, runs}), ['killer-refused']);
+});
--- a/packages/trials/src/checks.ts
+++ b/packages/trials/src/checks.ts
@@ -89,7 +89,9 @@
   'leaving-gets-nothing': record =>
     record.leaving.flatMap(({name, fromMs, toMs}) =>
       record.events
-        .filter(({kind, detail}) => kind === 'dispatched' && detail.server === name)
+        .filter(
+          ({kind, detail}) => kind === 'dispatched' && detail.server === name,
+        )
         .filter(({atMs}) => atMs >= fromMs && atMs <= toMs)
         .map(({requestId, atMs}) => {
           return `${requestId} went to ${name} ${atMs - fromMs} ms too late`;
@@ -103,7 +105,10 @@
           return sentAtMs <= toMs && endedAtMs >= fromMs;
         })
         .filter(({told}) => told.verdict === 'none' && !told.isWhole)
-        .map(({key, told}) => `${key} was cut off as ${name} stopped: ${told.failure}`),
+        .map(
+          ({key, told}) =>
+            `${key} was cut off as ${name} stopped: ${told.failure}`,
+        ),
     ),
   'killer-refused': record => {
     const killed = record.runs.filter(run => {
@@ -203,15 +208,24 @@
     wait.isGranted = kind === 'granted';
   }
   return events
-    .filter(({kind, detail}) => kind === 'refused' && detail.reason === 'overloaded')
+    .filter(
+      ({kind, detail}) => kind === 'refused' && detail.reason === 'overloaded',
+    )
     .flatMap(({requestId, atMs}) => {
       const refused = waits.get(requestId);
       const inverted = [...waits].filter(([, wait]) => {
-        const isLower = refused && wait.service === refused.service && wait.tier > refused.tier;
-        const isSpanning = wait.fromMs < atMs - TIER_WINDOW_MS && wait.toMs > atMs + TIER_WINDOW_MS;
+        const isLower =
+          refused &&
+          wait.service === refused.service &&
+          wait.tier > refused.tier;
+        const isSpanning =
+          wait.fromMs < atMs - TIER_WINDOW_MS &&
+          wait.toMs > atMs + TIER_WINDOW_MS;
         return isLower && isSpanning && wait.isGranted;
       });
-      return inverted.map(([id]) => `${id} was kept while ${requestId} was shed`);
+      return inverted.map(
+        ([id]) => `${id} was kept while ${requestId} was shed`,
+      );
     });
 }
 
@@ -219,7 +233,6 @@
   events: readonly fleets.FleetEvent[],
 ): readonly fleets.FleetEvent[] {
   return [...events].sort(
-    (a, b) =>
-      a.atMs - b.atMs || a.host.localeCompare(b.host) || a.seq - b.seq,
+    (a, b) => a.atMs - b.atMs || a.host.localeCompare(b.host) || a.seq - b.seq,
   );
 }
--- a/packages/trials/src/faultkinds.ts
+++ b/packages/trials/src/faultkinds.ts
@@ -67,12 +67,8 @@
   return () => restart(fleet, host);
 };
 
-async function restart(
-  fleet: fleets.Fleet,
-  host: fleets.Host,
-): Promise<void> {
+async function restart(fleet: fleets.Fleet, host: fleets.Host): Promise<void> {
   await fleet.startHost(fleet.hosts.indexOf(host));
-  await fleet.ready(host);
 }
 
 const freezeHost: FaultKind = async ({host}) => {
--- a/packages/trials/src/faults.ts
+++ b/packages/trials/src/faults.ts
@@ -83,6 +83,7 @@
   }
   await pause(FAULT_MS + random() * FAULT_MS);
   for (const heal of heals.reverse()) await heal();
+  await Promise.all(fleet.hosts.map(host => fleet.ready(host)));
   if (count > 1) state.stops.length = stopsBefore;
   await fleet.reviveBackends();
   await pause(REST_MS);
--- a/packages/trials/src/processes.ts
+++ b/packages/trials/src/processes.ts
@@ -5,6 +5,16 @@
 
 const LISTENING = /^listening (\d+)$/;
 
+const children = new Set<childProcess.ChildProcess>();
+
+/** No process outlives the one that started it. */
+process.once('exit', () => {
+  for (const child of children) child.kill('SIGKILL');
+});
+for (const signal of ['SIGTERM', 'SIGHUP'] as const) {
+  process.once(signal, () => process.exit(1));
+}
+
 /** A process that was started here. */
 export interface Started {
   readonly name: string;
@@ -41,8 +51,12 @@
   lines.on('line', line => onLine?.(line));
   const errors = readline.createInterface({input: child.stderr});
   errors.on('line', line => onErrorLine?.(line));
+  children.add(child);
   const ended = new Promise<number | null>(resolve => {
-    child.once('exit', code => resolve(code));
+    child.once('exit', code => {
+      children.delete(child);
+      resolve(code);
+    });
   });
   return {name, child, ended};
 }
--- a/packages/trials/src/start.ts
+++ b/packages/trials/src/start.ts
@@ -19,7 +19,6 @@
     process.exit(status);
   };
   process.once('SIGINT', () => void stop(0));
-  process.once('SIGTERM', () => void stop(0));
   const urls = fleet.hosts.map(host => host.callerUrl);
   const results = await loads.run({
     caller: new callers.Caller(urls),
