Version moves: keep watching until late, compare at the same time, alarm rarely

Cause: with the ramp left as soon as samples sufficed, versions that fail later were settled before they failed; a threshold of 2,000:1 on twelve tests at once raised false alarms; old samples of the present version made a slow evening look like a slow candidate.

A request dispatched after the last crash is now at another crash.

--- a/packages/daemon/src/crashes.ts
+++ b/packages/daemon/src/crashes.ts
@@ -18,8 +18,11 @@
 /** Which requests were in flight when backend servers crashed, shared with the other hosts. */
 export class Crashes {
   private suspects = decisions.suspects.Suspects.empty;
-  private readonly inFlight = new Map<string, Map<string, string>>();
-  private readonly lastCrashMs = new Map<string, number>();
+  /** Requests in flight by backend server, and by their ids. */
+  private readonly inFlight = new Map<
+    string,
+    Map<string, decisions.suspects.InFlight>
+  >();
   private timer: NodeJS.Timeout | undefined;
   private count = 0;
 
@@ -50,28 +53,33 @@
 
   /** Notes that a request is in flight on a backend server; call the result when it no longer is. */
   enter(server: string, requestId: string, fingerprint: string): () => void {
-    const requests = this.inFlight.get(server) ?? new Map<string, string>();
-    this.inFlight.set(server, requests.set(requestId, fingerprint));
+    const requests = this.inFlight.get(server) ?? new Map();
+    this.inFlight.set(server, requests);
+    const dispatchedMs = this.options.clock.nowMs();
+    requests.set(requestId, {fingerprint, dispatchedMs});
     return () => requests.delete(requestId);
   }
 
-  /** A backend server crashed: everything in flight on it is suspect, here and on the other hosts. */
+  /**
+   * A backend server crashed: everything in flight on it is suspect, here and
+   * on the other hosts. Each request in flight leads here; the first one
+   * reports for all.
+   */
   crashed(server: string): void {
+    const requests = this.inFlight.get(server);
+    if (!requests || requests.size === 0) return;
     const nowMs = this.options.clock.nowMs();
-    const lastMs = this.lastCrashMs.get(server) ?? -Infinity;
-    if (nowMs - lastMs < decisions.suspects.SAME_CRASH_MS) return;
-    this.lastCrashMs.set(server, nowMs);
     this.count++;
-    const requests = this.inFlight.get(server)?.values() ?? [];
     const crash: decisions.suspects.Crash = {
       crashId: `${this.options.host}/${nowMs}/${this.count}`,
       backendServer: server,
       atMs: nowMs,
-      fingerprints: [...new Set(requests)],
+      requests: [...requests.values()],
     };
+    requests.clear();
     this.options.timeline.record('crash', '', {
       server,
-      requests: crash.fingerprints.length,
+      requests: crash.requests.length,
     });
     this.add([crash], '');
   }
--- a/packages/daemon/src/driver.ts
+++ b/packages/daemon/src/driver.ts
@@ -57,8 +57,9 @@
   onEvidence(_: string, body: peers.messages.Messages['evidence']): void {
     const driven = this.driven.get(body.moveId);
     if (!driven) return;
+    const nowMs = this.options.clock.monotonicMs();
     driven.evidence = body.samples.reduce(
-      (evidence, sample) => evidence.add(sample),
+      (evidence, sample) => evidence.add(sample, nowMs),
       driven.evidence,
     );
     if (driven.evidence.badness) this.sendShares(driven, 0);
--- a/packages/daemon/src/shares.ts
+++ b/packages/daemon/src/shares.ts
@@ -87,7 +87,8 @@
     if (!held) return;
     const isCandidate = version === held.leased.to;
     const sample = samples.sampleOf(request, isCandidate, shown);
-    held.evidence = held.evidence.add(sample);
+    const nowMs = this.options.clock.monotonicMs();
+    held.evidence = held.evidence.add(sample, nowMs);
     held.unsent.push(sample);
     if (sample.isFailure) this.flush();
   }
--- /dev/null
+++ b/packages/decisions/src/evidence.test.ts
@@ -0,0 +1,79 @@
+import * as assert from 'node:assert/strict';
+import * as test from 'node:test';
+
+import * as evidences from './evidence.js';
+
+/** A sample with these parts. */
+function sample(change: Partial<evidences.Sample> = {}): evidences.Sample {
+  return {
+    route: 'gate',
+    isCandidate: true,
+    isFailure: false,
+    firstTokenMs: 100,
+    tokenMs: 20,
+    ...change,
+  };
+}
+
+/** The evidence after `count` like samples, 100 ms apart. */
+function after(
+  evidence: evidences.Evidence,
+  count: number,
+  change: Partial<evidences.Sample>,
+  fromMs = 0,
+): evidences.Evidence {
+  let next = evidence;
+  for (let i = 0; i < count; i++) {
+    next = next.add(sample(change), fromMs + i * 100);
+  }
+  return next;
+}
+
+const control = after(evidences.Evidence.none, 50, {isCandidate: false});
+
+test.test('a version that fails is called bad within few requests', () => {
+  const bad = after(control, 6, {isFailure: true}, 5000);
+  assert.equal(bad.badness?.sign, 'failures');
+});
+
+test.test('a version that is slow is called bad within few requests', () => {
+  const slow = after(control, 9, {firstTokenMs: 300, tokenMs: 60}, 5000);
+  assert.equal(slow.badness?.sign, 'first-token');
+});
+
+test.test('badness on one route names the route', () => {
+  let evidence = control;
+  for (let i = 0; i < 40; i++) {
+    const route = i % 4 === 0 ? 'batch' : 'gate';
+    const isFailure = route === 'batch';
+    evidence = evidence.add(sample({route, isFailure}), 5000 + i);
+  }
+  assert.equal(evidence.badness?.route, 'batch');
+});
+
+test.test('badness that starts late is found as fast', () => {
+  const good = after(control, 500, {}, 5000);
+  assert.equal(good.badness, undefined);
+  assert.ok(after(good, 8, {isFailure: true}, 60_000).badness);
+});
+
+test.test('a slow evening is not blamed on the candidate', () => {
+  let evidence = control;
+  for (let i = 0; i < 400; i++) {
+    const firstTokenMs = 100 + i;
+    const isCandidate = i % 2 === 0;
+    const fresh = sample({
+      isCandidate,
+      firstTokenMs,
+      tokenMs: firstTokenMs / 5,
+    });
+    evidence = evidence.add(fresh, 5000 + i * 100);
+  }
+  assert.equal(evidence.badness, undefined);
+});
+
+test.test('without a fresh comparison times prove nothing', () => {
+  const stale = 5000 + evidences.CONTROL_AGE_MS;
+  const slow = after(control, 30, {firstTokenMs: 900, tokenMs: 90}, stale);
+  assert.equal(slow.badness, undefined);
+});
--- a/packages/decisions/src/evidence.ts
+++ b/packages/decisions/src/evidence.ts
@@ -22,11 +22,14 @@
 /** The samples of the present version that a candidate is compared with. */
 export const CONTROL_WINDOW = 100;
 
+/** How old a sample may be when times are compared with it, in milliseconds. */
+export const CONTROL_AGE_MS = 45_000;
+
 /** Samples of the present version that are needed before times can be compared. */
 export const MIN_CONTROL = 20;
 
 /** The log of the odds at which a candidate is called bad. */
-export const ALARM_LOG_ODDS = Math.log(2000);
+export const ALARM_LOG_ODDS = Math.log(1e8);
 
 const ALL_ROUTES = '*';
 const MIN_FAILURE_RATE = 0.01;
@@ -37,8 +40,12 @@
 const BAD_SLOW_RATE = 0.6;
 const RATE_PRIOR_SAMPLES = 20;
 
+interface TimedSample extends Sample {
+  readonly atMs: number;
+}
+
 interface RouteEvidence {
-  readonly control: readonly Sample[];
+  readonly control: readonly TimedSample[];
   readonly logOdds: Readonly<Record<Sign, number>>;
 }
 
@@ -66,15 +73,15 @@
   /** Nothing was seen. */
   static readonly none = new Evidence(0, 0, undefined, new Map());
 
-  /** The evidence with one more sample. */
-  add(sample: Sample): Evidence {
+  /** The evidence with one more sample, which came at `nowMs`. */
+  add(sample: Sample, nowMs: number): Evidence {
     const routes = new Map(this.routes);
     let badness = this.badness;
     for (const route of [sample.route, ALL_ROUTES]) {
       const known = routes.get(route) ?? NO_EVIDENCE;
       const next = sample.isCandidate
-        ? tested(known, sample)
-        : controlled(known, sample);
+        ? tested(known, sample, nowMs)
+        : controlled(known, {...sample, atMs: nowMs});
       routes.set(route, next);
       badness ??= alarm(route, next);
     }
@@ -94,12 +101,16 @@
   }
 }
 
-function controlled(known: RouteEvidence, sample: Sample): RouteEvidence {
+function controlled(known: RouteEvidence, sample: TimedSample): RouteEvidence {
   const control = [...known.control, sample].slice(-CONTROL_WINDOW);
   return {...known, control};
 }
 
-function tested(known: RouteEvidence, sample: Sample): RouteEvidence {
+function tested(
+  known: RouteEvidence,
+  sample: Sample,
+  nowMs: number,
+): RouteEvidence {
   const {control, logOdds} = known;
   const base = failureRate(control);
   const failures = updated(
@@ -111,7 +122,9 @@
   if (sample.isFailure || control.length < MIN_CONTROL) {
     return {...known, logOdds: {...logOdds, failures}};
   }
-  const ok = control.filter(s => !s.isFailure);
+  const ok = control.filter(
+    s => !s.isFailure && nowMs - s.atMs <= CONTROL_AGE_MS,
+  );
   const firstToken = slower(
     logOdds['first-token'],
     sample.firstTokenMs,
@@ -125,11 +138,11 @@
   return {control, logOdds: {failures, 'first-token': firstToken, pace}};
 }
 
-/** The failure rate of the present version, pulled towards the least one that is assumed. */
+/** The failure rate of the present version, on the high side while few samples are known. */
 function failureRate(control: readonly Sample[]): number {
   const failures = control.filter(s => s.isFailure).length;
-  const prior = MIN_FAILURE_RATE * RATE_PRIOR_SAMPLES;
-  return (failures + prior) / (control.length + RATE_PRIOR_SAMPLES);
+  const rate = (failures + 1) / (control.length + RATE_PRIOR_SAMPLES);
+  return Math.max(MIN_FAILURE_RATE, rate);
 }
 
 function slower(
@@ -137,11 +150,11 @@
   valueMs: number,
   control: readonly number[],
 ): number {
-  const known = control.filter(ms => ms > 0).sort((a, b) => a - b);
+  const known = control.filter(ms => ms > 0);
   if (valueMs <= 0 || known.length < MIN_CONTROL) return logOdds;
-  const limitMs =
-    known[Math.floor(SLOW_QUANTILE * (known.length - 1))] * SLOW_MARGIN;
-  return updated(logOdds, valueMs > limitMs, SLOW_RATE, BAD_SLOW_RATE);
+  const slowerThanValue = known.filter(ms => ms * SLOW_MARGIN >= valueMs);
+  const isSlow = slowerThanValue.length <= (1 - SLOW_QUANTILE) * known.length;
+  return updated(logOdds, isSlow, SLOW_RATE, BAD_SLOW_RATE);
 }
 
 function updated(
--- a/packages/decisions/src/move.ts
+++ b/packages/decisions/src/move.ts
@@ -44,6 +44,9 @@
 /** The part of a step's time slot that must pass even if the evidence comes sooner. */
 const MIN_DWELL = 0.4;
 
+/** The part of a move's time for which the last step is watched, so that badness that starts late shows. */
+const WATCH_PART = 0.95;
+
 /** What the driver has found out about the world. */
 export interface Facts {
   /** Every live backend server has both versions. */
@@ -199,8 +202,12 @@
   evidence: evidences.Evidence,
   nowMs: number,
 ): boolean {
-  const slotMs = (decideByMs(move) - move.startedAtMs) / (SHARES.length + 1);
+  const wholeMs = decideByMs(move) - move.startedAtMs;
+  const slotMs = wholeMs / (SHARES.length + 1);
   if (nowMs - move.stepAtMs < slotMs * MIN_DWELL) return false;
+  const isLast = move.step === SHARES.length - 1;
+  const isWatching = nowMs - move.startedAtMs < wholeMs * WATCH_PART;
+  if (isLast && isWatching) return false;
   return evidence.hasControl && evidence.stepSamples >= STEP_SAMPLES[move.step];
 }
 
--- a/packages/decisions/src/suspects.test.ts
+++ b/packages/decisions/src/suspects.test.ts
@@ -6,6 +6,8 @@
 import * as suspects from './suspects.js';
 
 const SEED = 20261204;
+/** How long requests run before a crash. */
+const RUN_MS = 200;
 
 function crash(
   crashId: string,
@@ -13,7 +15,11 @@
   backendServer: string,
   ...fingerprints: readonly string[]
 ): suspects.Crash {
-  return {crashId, atMs, backendServer, fingerprints};
+  const requests = fingerprints.map(fingerprint => ({
+    fingerprint,
+    dispatchedMs: atMs - RUN_MS,
+  }));
+  return {crashId, atMs, backendServer, requests};
 }
 
 const once = suspects.Suspects.empty.add(crash('c1', 0, 's1', 'bad', 'good'));
@@ -26,10 +32,15 @@
 });
 
 test.test('reports of one crash by several hosts count once', () => {
-  const both = once.add(crash('c2', 500, 's1', 'bad'));
+  const both = once.add(crash('c2', 100, 's1', 'bad'));
   assert.equal(both.standing('bad'), 'suspect');
 });
 
+test.test('a backend server that crashes again soon is another crash', () => {
+  const twice = once.add(crash('c2', 700, 's1', 'bad'));
+  assert.equal(twice.standing('bad'), 'refused');
+});
+
 test.test('a bystander that completes is cleared', () => {
   const cleared = once.complete('good', 100);
   assert.equal(cleared.standing('good'), 'clear');
--- a/packages/decisions/src/suspects.ts
+++ b/packages/decisions/src/suspects.ts
@@ -4,15 +4,18 @@
 /** How long a fingerprint stays on record after its last crash, in milliseconds. */
 export const SUSPECT_KEEP_MS = 3_600_000;
 
-/** Reports of crashes of one backend server this close together are one crash, in milliseconds. */
-export const SAME_CRASH_MS = 3000;
+/** A request that was in flight at a crash, and when it was dispatched. */
+export interface InFlight {
+  readonly fingerprint: string;
+  readonly dispatchedMs: number;
+}
 
-/** A crash of one backend server, with the fingerprints of the requests that were in flight on it. */
+/** A crash of one backend server as one host saw it, with that host's requests in flight on it. */
 export interface Crash {
   readonly crashId: string;
   readonly backendServer: string;
   readonly atMs: number;
-  readonly fingerprints: readonly string[];
+  readonly requests: readonly InFlight[];
 }
 
 /** How a request is to be treated. */
@@ -60,8 +63,10 @@
   /** How a request with this fingerprint is to be treated. */
   standing(fingerprint: string): Standing {
     const since = this.completedMs.get(fingerprint) ?? -Infinity;
+    const crashes = this.crashesOf(fingerprint);
     const count = distinct(
-      this.crashesOf(fingerprint).filter(crash => crash.atMs > since),
+      crashes.filter(crash => crash.atMs > since),
+      fingerprint,
     );
     if (count >= CRASHES_TO_REFUSE) return 'refused';
     return count > 0 ? 'suspect' : 'clear';
@@ -78,18 +83,28 @@
   }
 
   private crashesOf(fingerprint: string): readonly Crash[] {
-    return this.list().filter(c => c.fingerprints.includes(fingerprint));
+    return this.list().filter(crash =>
+      crash.requests.some(request => request.fingerprint === fingerprint),
+    );
   }
 }
 
-/** Counts crashes; several hosts report the same one. */
-function distinct(crashes: readonly Crash[]): number {
+/**
+ * Counts crashes that a fingerprint was present at. Several hosts report the
+ * same crash; a request that was dispatched after the last crash of its
+ * backend server was present at another one.
+ */
+function distinct(crashes: readonly Crash[], fingerprint: string): number {
   const sorted = [...crashes].sort((a, b) => a.atMs - b.atMs);
   const lastMs = new Map<string, number>();
   let count = 0;
-  for (const {backendServer, atMs} of sorted) {
+  for (const {backendServer, atMs, requests} of sorted) {
     const previousMs = lastMs.get(backendServer) ?? -Infinity;
-    if (atMs - previousMs > SAME_CRASH_MS) count++;
+    const isLater = requests.some(request => {
+      const isSame = request.fingerprint === fingerprint;
+      return isSame && request.dispatchedMs > previousMs;
+    });
+    if (isLater) count++;
     lastMs.set(backendServer, atMs);
   }
   return count;
--- /dev/null
+++ b/packages/trials/src/movepolicies.ts
@@ -0,0 +1,176 @@
+import * as decisions from '@banyanhall/decisions';
+
+import * as versions from './versions.js';
+
+/** How a move ended. */
+export type Ending = 'finished' | 'taken-back' | 'open';
+
+/** A policy that decides over one move, told every sample as it arrives. */
+export interface Policy {
+  /** The share of traffic that the candidate gets now. */
+  readonly share: number;
+  readonly ending: Ending;
+  add(sample: decisions.evidence.Sample, nowMs: number): void;
+  tick(nowMs: number): void;
+}
+
+/** Makes a policy for a move that starts at 0 and has to end by `deadlineMs`. */
+export type MakePolicy = (deadlineMs: number) => Policy;
+
+const STEPS = 10;
+const ERROR_THRESHOLD = 0.05;
+const PREPARE_MS = 1000;
+const CONFIRM_MS = 3000;
+
+/** The product's own decisions on a clock that the trial moves. */
+class OwnPolicy implements Policy {
+  private move: decisions.move.Move;
+  private evidence = decisions.evidence.Evidence.none;
+
+  constructor(deadlineMs: number) {
+    this.move = decisions.move.start('m', 's', 'v1', 'v2', 'o', 0, deadlineMs);
+  }
+
+  get share(): number {
+    return this.evidence.badness ? 0 : decisions.move.share(this.move);
+  }
+
+  get ending(): Ending {
+    const {phase} = this.move;
+    if (phase === 'settle' || phase === 'finished') return 'finished';
+    if (phase === 'taking-back' || phase === 'taken-back') return 'taken-back';
+    return 'open';
+  }
+
+  add(sample: decisions.evidence.Sample, nowMs: number): void {
+    this.evidence = this.evidence.add(sample, nowMs);
+  }
+
+  tick(nowMs: number): void {
+    const facts = {
+      serversReady: nowMs >= PREPARE_MS,
+      serversRestored: true,
+      isSettled: nowMs >= this.move.stepAtMs + CONFIRM_MS,
+    };
+    const {move, evidence} = this;
+    const next = decisions.move.advance(move, evidence, facts, nowMs);
+    if (!next) return;
+    if (next.step !== move.step) this.evidence = evidence.nextStep();
+    this.move = next;
+  }
+}
+
+/** Ten equal steps; at the end of each the error rate of the step is held against a threshold. */
+class FixedRamp implements Policy {
+  ending: Ending = 'open';
+  private step = 1;
+  private total = 0;
+  private failed = 0;
+
+  constructor(private readonly deadlineMs: number) {}
+
+  get share(): number {
+    return this.ending === 'open' ? this.step / STEPS : 0;
+  }
+
+  add(sample: decisions.evidence.Sample): void {
+    if (!sample.isCandidate) return;
+    this.total++;
+    this.failed += Number(sample.isFailure);
+  }
+
+  tick(nowMs: number): void {
+    if (this.ending !== 'open') return;
+    const stepMs = this.deadlineMs / (STEPS + 1);
+    if (nowMs < this.step * stepMs) return;
+    const isBad = this.total > 0 && this.failed / this.total > ERROR_THRESHOLD;
+    if (isBad) this.ending = 'taken-back';
+    else if (this.step === STEPS) this.ending = 'finished';
+    else this.step++;
+    this.total = 0;
+    this.failed = 0;
+  }
+}
+
+/** All traffic at once; nobody looks. */
+class ImmediateSwitch implements Policy {
+  ending: Ending = 'open';
+
+  constructor(private readonly deadlineMs: number) {}
+
+  readonly share = 1;
+
+  add(): void {
+    // Samples change nothing here.
+  }
+
+  tick(nowMs: number): void {
+    if (nowMs >= this.deadlineMs) this.ending = 'finished';
+  }
+}
+
+/** The policies that are compared, ours first. */
+export const POLICIES: Readonly<Record<string, MakePolicy>> = {
+  ours: deadlineMs => new OwnPolicy(deadlineMs),
+  'fixed-ramp': deadlineMs => new FixedRamp(deadlineMs),
+  'immediate-switch': deadlineMs => new ImmediateSwitch(deadlineMs),
+};
+
+/** What one move came to. */
+export interface MoveResult {
+  readonly ending: Ending;
+  /** Requests that the candidate's badness spoiled. */
+  readonly badRequests: number;
+  /** From the first bad request to the last request sent to the candidate; 0 for good ones. */
+  readonly exposureMs: number;
+  readonly endedMs: number;
+}
+
+const TICK_MS = 100;
+const REPORT_LAG_MS = 300;
+
+interface Arriving {
+  readonly atMs: number;
+  readonly sample: decisions.evidence.Sample;
+}
+
+/** Runs one generated move under a policy, on a clock that costs no time. */
+export function runMove(
+  make: MakePolicy,
+  kind: versions.Kind,
+  seed: number,
+): MoveResult {
+  const random = decisions.random.seeded(seed);
+  const evening = new versions.Evening(kind, random);
+  const policy = make(versions.MOVE_MS);
+  let arriving: Arriving[] = [];
+  let badRequests = 0;
+  let firstBadMs = -1;
+  let lastSentMs = 0;
+  let endedMs = 0;
+  const perTick = (versions.REQUESTS_PER_S * TICK_MS) / 1000;
+  for (let nowMs = 0; nowMs < versions.MOVE_MS; nowMs += TICK_MS) {
+    const due = arriving.filter(each => each.atMs <= nowMs);
+    if (due.length > 0) arriving = arriving.filter(each => each.atMs > nowMs);
+    for (const each of due) policy.add(each.sample, nowMs);
+    policy.tick(nowMs);
+    if (policy.ending !== 'open') {
+      endedMs = nowMs;
+      break;
+    }
+    const count = Math.floor(perTick + random());
+    for (let i = 0; i < count; i++) {
+      const {share} = policy;
+      const isCandidate = random() < share;
+      const outcome = evening.request(nowMs, isCandidate, share);
+      const atMs = nowMs + outcome.durationMs + REPORT_LAG_MS;
+      arriving.push({atMs, sample: outcome.sample});
+      if (isCandidate) lastSentMs = nowMs;
+      if (!outcome.isBad) continue;
+      badRequests++;
+      if (firstBadMs < 0) firstBadMs = nowMs;
+    }
+  }
+  const exposureMs = firstBadMs < 0 ? 0 : lastSentMs - firstBadMs;
+  return {ending: policy.ending, badRequests, exposureMs, endedMs};
+}
--- /dev/null
+++ b/packages/trials/src/moves.ts
@@ -0,0 +1,86 @@
+import * as util from 'node:util';
+
+import * as figures from './figures.js';
+import * as policies from './movepolicies.js';
+import * as versions from './versions.js';
+
+const MOVES_EACH = 200;
+
+/** What a policy came to on moves of one kind. */
+export interface KindResult {
+  readonly policy: string;
+  readonly kind: versions.Kind;
+  readonly results: readonly policies.MoveResult[];
+}
+
+/** Runs `count` generated moves of every kind under every policy. */
+export function runAll(seed: number, count: number): readonly KindResult[] {
+  return Object.keys(policies.POLICIES).flatMap(policy =>
+    versions.KINDS.map(kind => ({
+      policy,
+      kind,
+      results: Array.from({length: count}, (_, i) =>
+        policies.runMove(policies.POLICIES[policy], kind, seed * 1000 + i),
+      ),
+    })),
+  );
+}
+
+/** The share of results that ended as they ought to. */
+export function rightShare({kind, results}: KindResult): number {
+  const right = versions.isBad(kind) ? 'taken-back' : 'finished';
+  const count = results.filter(({ending}) => ending === right).length;
+  return count / results.length;
+}
+
+/** The mean number of spoiled requests. */
+export function meanBad({results}: KindResult): number {
+  const sum = results.reduce((total, each) => total + each.badRequests, 0);
+  return sum / results.length;
+}
+
+function table(all: readonly KindResult[]): string {
+  const header = ['policy', 'kind', 'right %', 'bad req', 'exposed s', 'p95 s'];
+  const wide = (text: string | number) => String(text).padStart(18);
+  const rows = all.map(each => {
+    const exposedS = each.results.map(({exposureMs}) => exposureMs / 1000);
+    return [
+      ...[each.policy, each.kind, (100 * rightShare(each)).toFixed(1)],
+      meanBad(each).toFixed(1),
+      figures.quantile(exposedS, 0.5).toFixed(1),
+      figures.quantile(exposedS, 0.95).toFixed(1),
+    ];
+  });
+  return [header, ...rows].map(row => row.map(wide).join('')).join('\n');
+}
+
+/** Spoiled requests a bad version under our policy, as a share of the fixed ramp's. */
+export function exposureRatio(all: readonly KindResult[]): number {
+  const mean = (policy: string) => {
+    const own = all.filter(
+      each => each.policy === policy && versions.isBad(each.kind),
+    );
+    return own.reduce((sum, each) => sum + meanBad(each), 0) / own.length;
+  };
+  return mean('ours') / mean('fixed-ramp');
+}
+
+function main(): void {
+  const {values} = util.parseArgs({
+    options: {
+      seed: {type: 'string', default: '1'},
+      count: {type: 'string', default: String(MOVES_EACH)},
+    },
+  });
+  const all = runAll(Number(values.seed), Number(values.count));
+  console.log(`${values.count} moves of each kind, seed ${values.seed}`);
+  console.log(table(all));
+  const ratio = exposureRatio(all);
+  console.log(`\nours / fixed ramp, bad requests: ${ratio.toFixed(3)}`);
+  const ours = all.filter(each => each.policy === 'ours');
+  const isMet = ours.every(each => rightShare(each) === 1) && ratio <= 0.1;
+  console.log(isMet ? 'target met' : 'target missed');
+  process.exit(isMet ? 0 : 1);
+}
+
+if (process.argv[1]?.endsWith('moves.js')) main();
