--- a/packages/decisions/src/evidence.test.ts
+++ b/packages/decisions/src/evidence.test.ts
@@ -41,7 +41,12 @@
 });
 
 test.test('a version that is slow is called bad within few requests', () => {
-  const slow = after(control, MOST_FAILURES, {firstTokenMs: 300, tokenMs: 60}, 5000);
+  const slow = after(
+    control,
+    MOST_FAILURES,
+    {firstTokenMs: 300, tokenMs: 60},
+    5000,
+  );
   assert.equal(slow.badness?.sign, 'first-token');
 });
 
--- /dev/null
+++ b/packages/trials/src/baseline.ts
@@ -0,0 +1,114 @@
+import * as crypto from 'node:crypto';
+
+import * as backends from '@banyanhall/backends';
+
+import type * as callers from './caller.js';
+import type * as fleets from './fleet.js';
+
+const POLL_MS = 1000;
+const PROGRESS_MS = 60_000;
+
+/** Sends chat requests and tells what came of them. */
+export interface Sender {
+  chat(order: callers.ChatOrder): Promise<callers.Told>;
+  close(): void;
+}
+
+/** Picks a backend server among those of a service. */
+export type Pick = (servers: readonly fleets.Backend[]) => fleets.Backend;
+
+/**
+ * A scheduler to compare with: it sends each request at once to a backend
+ * server that `pick` names, without tiers, slots or waiting, and cancels what
+ * is not finished inside its time.
+ */
+export class BaselineSender implements Sender {
+  private readonly client = new backends.client.BackendClient();
+
+  constructor(
+    private readonly fleet: fleets.Fleet,
+    private readonly pick: Pick,
+    private readonly onClose: () => void,
+  ) {}
+
+  /** Stops polling and closes connections. */
+  close(): void {
+    this.onClose();
+    this.client.close();
+  }
+
+  async chat(order: callers.ChatOrder): Promise<callers.Told> {
+    const servers = this.fleet.backends.filter(
+      backend => backend.service === order.service,
+    );
+    const {url} = this.pick(servers).server;
+    const streamId = crypto.randomUUID();
+    const startedMs = performance.now();
+    const gapsMs: number[] = [];
+    let text = '';
+    let firstMs = 0;
+    let lastMs = 0;
+    let failure = '';
+    const signal = AbortSignal.timeout(order.timeoutMs);
+    try {
+      const request = {
+        streamId,
+        model: order.service,
+        messages: [{role: 'user', content: order.prompt}],
+        maxTokens: order.maxTokens,
+      };
+      const events = this.client.chat(url, request, signal, PROGRESS_MS);
+      for await (const event of events) {
+        if (event.kind === 'end') break;
+        const nowMs = performance.now();
+        text += event.text;
+        if (firstMs === 0) firstMs = nowMs;
+        else gapsMs.push(nowMs - lastMs);
+        lastMs = nowMs;
+      }
+    } catch (error) {
+      failure = (error as Error).message;
+      void this.client.cancel(url, streamId);
+    }
+    return {
+      verdict: failure === '' ? 'ran' : 'may-have-run',
+      ...{failure, text, gapsMs, resumes: 0, status: 200},
+      isWhole: failure === '',
+      firstTokenMs: firstMs === 0 ? 0 : firstMs - startedMs,
+      durationMs: performance.now() - startedMs,
+    };
+  }
+}
+
+/** First come, each backend server in turn. */
+export function roundRobin(fleet: fleets.Fleet): Sender {
+  let next = 0;
+  const pick: Pick = servers => {
+    next++;
+    return servers[next % servers.length];
+  };
+  return new BaselineSender(fleet, pick, () => undefined);
+}
+
+/** The backend server whose last load report shows the least work. */
+export function leastLoaded(fleet: fleets.Fleet): Sender {
+  const loads = new Map<string, number>();
+  const client = new backends.client.BackendClient();
+  const poll = () => {
+    for (const {name, server} of fleet.backends) {
+      client.load(server.url).then(
+        report => loads.set(name, report.usedTokens),
+        () => loads.set(name, Infinity),
+      );
+    }
+  };
+  const timer = setInterval(poll, POLL_MS);
+  const pick: Pick = servers => {
+    const load = (backend: fleets.Backend) => loads.get(backend.name) ?? 0;
+    return [...servers].sort((a, b) => load(a) - load(b))[0];
+  };
+  return new BaselineSender(fleet, pick, () => {
+    clearInterval(timer);
+    client.close();
+  });
+}
--- /dev/null
+++ b/packages/trials/src/measure.ts
@@ -0,0 +1,364 @@
+import * as fs from 'node:fs';
+import * as util from 'node:util';
+
+import * as decisions from '@banyanhall/decisions';
+import * as hdr from 'hdr-histogram-js';
+
+import * as baselines from './baseline.js';
+import * as callers from './caller.js';
+import * as figures from './figures.js';
+import * as fleets from './fleet.js';
+import * as loads from './load.js';
+import * as plans from './plans.js';
+import * as reports from './report.js';
+import * as scenarios from './scenarios.js';
+
+const HOSTS = 8;
+const DEFAULT_SECONDS = 45;
+const SLOT_TOKENS = 16_384;
+const MAX_RUNNING = 16;
+const PREFIX_CHARS = 1024;
+const US_PER_MS = 1000;
+const MAX_HISTOGRAM_US = 600_000_000;
+/** Tokens per second of a stand-in engine with a slow factor of 1 and a full batch. */
+const ENGINE_TOKENS_PER_S = (60 * MAX_RUNNING) / (1 + 0.03 * (MAX_RUNNING - 1));
+const SLOW_FACTORS = {
+  'tray-scribe': [1.4, 1.4, 2, 2, 3.2],
+  redacteur: [1.4, 2, 3.2, 4.4],
+} as const;
+
+interface Kind {
+  readonly profile: string;
+  readonly tier: number;
+  readonly share: number;
+  readonly deadlineMs: number;
+  readonly maxTokens: number;
+}
+
+const KINDS: readonly Kind[] = [
+  {profile: 'gate', tier: 1, share: 0.3, deadlineMs: 8000, maxTokens: 100},
+  {profile: 'clerk', tier: 2, share: 0.3, deadlineMs: 15_000, maxTokens: 200},
+  {profile: 'batch', tier: 3, share: 0.4, deadlineMs: 30_000, maxTokens: 400},
+];
+const MIN_TOKENS = 4;
+
+interface Sent {
+  readonly kind: Kind;
+  readonly service: string;
+  readonly prompt: string;
+  readonly maxTokens: number;
+  readonly atMs: number;
+  readonly told: callers.Told;
+}
+
+const POLICIES: Readonly<
+  Record<string, (fleet: fleets.Fleet) => baselines.Sender>
+> = {
+  ours: fleet => new callers.Caller(fleet.hosts.map(host => host.callerUrl)),
+  'round-robin': baselines.roundRobin,
+  'least-loaded': baselines.leastLoaded,
+};
+
+/** The figures of one tier. */
+export interface TierFigures {
+  readonly tier: number;
+  readonly offered: number;
+  readonly inTime: number;
+  readonly refused: number;
+  readonly late: number;
+  readonly goodputShare: number;
+  readonly firstTokenMs: readonly number[];
+  readonly gapMs: readonly number[];
+}
+
+/** The figures of one run. */
+export interface Figures {
+  readonly policy: string;
+  readonly scenario: string;
+  readonly seed: number;
+  readonly seconds: number;
+  readonly offeredTokensPerS: number;
+  readonly capacityTokensPerS: number;
+  /** Output tokens of whole answers in time, as a share of what was offered or, if less, of what the capacity allows until the last answer. */
+  readonly goodputOfCapacity: number;
+  readonly prefillTokens: number;
+  readonly wastedPrefillShare: number;
+  readonly repeatedPrefillShare: number;
+  readonly bytesAcrossRegions: number;
+  readonly tiers: readonly TierFigures[];
+}
+
+function plan(): fleets.FleetPlan {
+  const model = (name: keyof typeof SLOW_FACTORS): fleets.ServicePlan => ({
+    name,
+    kind: 'model',
+    fencing: 'checked',
+    behaviours: SLOW_FACTORS[name].map(slowFactor => ({slowFactor})),
+    slotTokens: SLOT_TOKENS,
+    maxRunning: MAX_RUNNING,
+  });
+  const plain = (name: string): fleets.ServicePlan => ({
+    ...{name, kind: 'plain', fencing: 'ignored'},
+    ...{behaviours: [{}, {}], slotTokens: 64, maxRunning: 16},
+  });
+  return {
+    ...plans.COOPERATIVE,
+    hosts: HOSTS,
+    services: [
+      ...[model('tray-scribe'), plain('tray-ledger')],
+      ...[model('redacteur'), plain('caisse')],
+    ],
+    keepsTimeline: true,
+  };
+}
+
+function capacity(): number {
+  const factors = Object.values(SLOW_FACTORS).flat();
+  return factors.reduce((sum, slow) => sum + ENGINE_TOKENS_PER_S / slow, 0);
+}
+
+function tokensOf(kind: Kind, random: decisions.random.Random): number {
+  const spread = kind.maxTokens / MIN_TOKENS;
+  return Math.round(MIN_TOKENS * spread ** random());
+}
+
+function meanTokens(): number {
+  return KINDS.reduce((sum, {share, maxTokens}) => {
+    const spread = maxTokens / MIN_TOKENS;
+    return sum + (share * MIN_TOKENS * (spread - 1)) / Math.log(spread);
+  }, 0);
+}
+
+/** Runs one scenario under one policy and returns its figures. */
+export async function run(
+  policy: string,
+  scenarioName: string,
+  seed: number,
+  seconds: number,
+): Promise<Figures> {
+  const scenario = scenarios.SCENARIOS[scenarioName];
+  const fleet = await fleets.Fleet.start(plan());
+  const sender = POLICIES[policy](fleet);
+  try {
+    const requestsPerS = (scenario.load * capacity()) / meanTokens();
+    const third = (seconds * 1000) / 3;
+    const faults = setTimeout(() => void scenario.start(fleet), third);
+    const heals = setTimeout(() => void scenario.heal(fleet), 2 * third);
+    const sent = await send(sender, seed, seconds * 1000, requestsPerS);
+    clearTimeout(faults);
+    clearTimeout(heals);
+    return figuresOf(policy, scenarioName, seed, seconds, sent, fleet);
+  } finally {
+    sender.close();
+    await fleet.stop();
+  }
+}
+
+async function send(
+  sender: baselines.Sender,
+  seed: number,
+  durationMs: number,
+  requestsPerS: number,
+): Promise<readonly Sent[]> {
+  const random = decisions.random.seeded(seed);
+  const pending: Promise<Sent>[] = [];
+  const startedMs = performance.now();
+  let dueMs = 0;
+  for (let serial = 0; dueMs < durationMs; serial++) {
+    const waitMs = startedMs + dueMs - performance.now();
+    if (waitMs > 0) await new Promise(resolve => setTimeout(resolve, waitMs));
+    pending.push(one(sender, random, serial, dueMs));
+    dueMs += (-Math.log(1 - random()) * 1000) / requestsPerS;
+  }
+  return Promise.all(pending);
+}
+
+async function one(
+  sender: baselines.Sender,
+  random: decisions.random.Random,
+  serial: number,
+  atMs: number,
+): Promise<Sent> {
+  const kind = kindOf(random());
+  const maxTokens = tokensOf(kind, random);
+  const prompt = loads.prompt(random, serial);
+  const {accounts} = plans.COOPERATIVE;
+  const isLarge = random() < 0.6;
+  const account = accounts[isLarge ? 0 : serial % accounts.length];
+  const service = random() < 0.6 ? 'tray-scribe' : 'redacteur';
+  const {profile, deadlineMs} = kind;
+  const order = {account, profile, service, prompt, maxTokens};
+  const told = await sender.chat({...order, timeoutMs: deadlineMs});
+  return {kind, service, prompt, maxTokens, atMs, told};
+}
+
+function kindOf(value: number): Kind {
+  let left = value;
+  for (const kind of KINDS) {
+    left -= kind.share;
+    if (left < 0) return kind;
+  }
+  return KINDS[0];
+}
+
+function isInTime({kind, told}: Sent): boolean {
+  return told.isWhole && told.durationMs <= kind.deadlineMs;
+}
+
+function figuresOf(
+  policy: string,
+  scenario: string,
+  seed: number,
+  seconds: number,
+  sent: readonly Sent[],
+  fleet: fleets.Fleet,
+): Figures {
+  const good = sent.filter(isInTime);
+  const sum = (all: readonly Sent[]) =>
+    all.reduce((total, each) => total + each.maxTokens, 0);
+  const lastMs = Math.max(...sent.map(s => s.atMs + s.told.durationMs));
+  const capacityTokensPerS = capacity();
+  const allowed = Math.min(sum(sent), (capacityTokensPerS * lastMs) / 1000);
+  return {
+    ...{policy, scenario, seed, seconds, capacityTokensPerS},
+    offeredTokensPerS: sum(sent) / seconds,
+    goodputOfCapacity: sum(good) / allowed,
+    ...prefillFigures(sent, fleet),
+    bytesAcrossRegions: acrossRegions(sent, fleet),
+    tiers: KINDS.map(kind =>
+      tierFigures(
+        kind.tier,
+        sent.filter(s => s.kind === kind),
+      ),
+    ),
+  };
+}
+
+function tierFigures(tier: number, sent: readonly Sent[]): TierFigures {
+  const inTime = sent.filter(isInTime).length;
+  const refused = sent.filter(s => s.told.verdict === 'not-run').length;
+  const first = sent.map(s => s.told.firstTokenMs).filter(ms => ms > 0);
+  return {
+    ...{tier, offered: sent.length, inTime, refused},
+    late: sent.length - inTime - refused,
+    goodputShare: inTime / Math.max(1, sent.length),
+    firstTokenMs: percentiles(first),
+    gapMs: percentiles(sent.flatMap(s => s.told.gapsMs)),
+  };
+}
+
+function percentiles(valuesMs: readonly number[]): readonly number[] {
+  const histogram = hdr.build({highestTrackableValue: MAX_HISTOGRAM_US});
+  for (const ms of valuesMs) histogram.recordValue(Math.round(ms * US_PER_MS));
+  return [50, 95, 99].map(p => histogram.getValueAtPercentile(p) / US_PER_MS);
+}
+
+/** Prefill that went to answers nobody got in time, and prefill of prefixes that the service had done before. */
+function prefillFigures(sent: readonly Sent[], fleet: fleets.Fleet) {
+  const bySerial = new Map(sent.map(s => [serialOf(s.prompt), s]));
+  const seen = new Set<string>();
+  let prefillTokens = 0;
+  let wasted = 0;
+  let repeated = 0;
+  const runs = [...fleet.runs].sort((a, b) => a.atMs - b.atMs);
+  for (const run of runs) {
+    const owner = bySerial.get(serialOf(run.promptTail));
+    if (!owner) continue;
+    const fresh = run.promptTokens - run.cachedTokens;
+    prefillTokens += fresh;
+    if (!isInTime(owner)) wasted += fresh;
+    const prefix = `${owner.service} ${owner.prompt.slice(0, PREFIX_CHARS)}`;
+    const prefixTokens = PREFIX_CHARS / decisions.prefix.CHARS_PER_TOKEN;
+    if (seen.has(prefix)) {
+      repeated += Math.max(0, prefixTokens - run.cachedTokens);
+    }
+    seen.add(prefix);
+  }
+  const of = Math.max(1, prefillTokens);
+  return {
+    prefillTokens,
+    wastedPrefillShare: wasted / of,
+    repeatedPrefillShare: repeated / of,
+  };
+}
+
+function serialOf(prompt: string): string {
+  return /request (\S+)$/.exec(prompt)?.[1] ?? '';
+}
+
+function acrossRegions(sent: readonly Sent[], fleet: fleets.Fleet): number {
+  const region = new Map([
+    ...fleet.hosts.map(host => [host.name, host.region] as const),
+    ...fleet.backends.map(b => [b.name, b.server.region] as const),
+  ]);
+  const bytes = new Map(
+    sent.map(s => [serialOf(s.prompt), s.prompt.length + s.told.text.length]),
+  );
+  const serials = new Map(
+    fleet.runs.map(run => [run.streamId, serialOf(run.promptTail)]),
+  );
+  return fleet.events
+    .filter(event => event.kind === 'dispatched')
+    .filter(event => {
+      const to = region.get(String(event.detail.server));
+      return to !== region.get(event.host);
+    })
+    .reduce((sum, {requestId}) => {
+      return sum + (bytes.get(serials.get(requestId) ?? '') ?? 0);
+    }, 0);
+}
+
+/** The figures as text. */
+export function figuresText(result: Figures): string {
+  const {policy, scenario, seed, tiers} = result;
+  const percent = (share: number) => `${(100 * share).toFixed(1)}%`;
+  const header = figures.row(
+    ...['tier', 'offered', 'in time', 'refused', 'late', 'goodput'],
+    ...['first p50', 'p95', 'p99', 'gap p50', 'p95', 'p99'],
+  );
+  const rows = tiers.map(t =>
+    figures.row(
+      ...[t.tier, t.offered, t.inTime, t.refused, t.late],
+      percent(t.goodputShare),
+      ...[...t.firstTokenMs, ...t.gapMs],
+    ),
+  );
+  return [
+    `${policy} ${scenario} seed ${seed}: offered ${result.offeredTokensPerS.toFixed(0)} of ${result.capacityTokensPerS.toFixed(0)} tokens/s, goodput ${percent(result.goodputOfCapacity)} of what the capacity allows`,
+    `prefill ${result.prefillTokens} tokens, wasted ${percent(result.wastedPrefillShare)}, repeated ${percent(result.repeatedPrefillShare)}, across regions ${result.bytesAcrossRegions} bytes`,
+    ...[header, ...rows],
+  ].join('\n');
+}
+
+async function main(): Promise<void> {
+  const {values} = util.parseArgs({
+    options: {
+      policy: {type: 'string', default: Object.keys(POLICIES).join(',')},
+      scenario: {type: 'string', default: 'steady-70,burst-150'},
+      seed: {type: 'string', default: '1'},
+      seconds: {type: 'string', default: String(DEFAULT_SECONDS)},
+      json: {type: 'boolean'},
+      report: {type: 'string'},
+    },
+  });
+  const results: Figures[] = [];
+  for (const scenario of values.scenario.split(',')) {
+    for (const policy of values.policy.split(',')) {
+      for (const seed of values.seed.split(',')) {
+        const result = await run(
+          policy,
+          scenario,
+          Number(seed),
+          Number(values.seconds),
+        );
+        results.push(result);
+        console.log(values.json ? JSON.stringify(result) : figuresText(result));
+      }
+    }
+  }
+  if (!values.report) return;
+  fs.writeFileSync(`${values.report}.json`, JSON.stringify(results, null, 1));
+  fs.writeFileSync(`${values.report}.html`, reports.html(results));
+}
+
+await main();
--- /dev/null
+++ b/packages/trials/src/report.ts
@@ -0,0 +1,30 @@
+import type * as measure from './measure.js';
+
+const BAR_HEIGHT = 16;
+const BAR_WIDTH = 300;
+const LABEL_WIDTH = 330;
+const TIER_COLOURS: readonly string[] = ['#1b6ca8', '#5aa9a3', '#c9a227'];
+
+/** An HTML page with a bar for each run and tier: the share of requests answered in time. */
+export function html(results: readonly measure.Figures[]): string {
+  const bars = results.flatMap(({policy, scenario, seed, tiers}) =>
+    tiers.map(({tier, goodputShare}) => ({
+      label: `${scenario} ${policy} seed ${seed} tier ${tier}`,
+      share: goodputShare,
+      colour: TIER_COLOURS[tier - 1],
+    })),
+  );
+  const rows = bars.map(({label, share, colour}, index) => {
+    const y = index * (BAR_HEIGHT + 4);
+    const width = (BAR_WIDTH * share).toFixed(1);
+    const percent = (100 * share).toFixed(1);
+    return [
+      `<text x="0" y="${y + 12}">${label}</text>`,
+      `<rect x="${LABEL_WIDTH}" y="${y}" width="${width}" height="${BAR_HEIGHT}" fill="${colour}"/>`,
+      `<text x="${LABEL_WIDTH + BAR_WIDTH + 8}" y="${y + 12}">${percent}%</text>`,
+    ].join('');
+  });
+  const height = bars.length * (BAR_HEIGHT + 4);
+  const svg = `<svg xmlns="http://www.w3.org/2000/svg" width="${LABEL_WIDTH + BAR_WIDTH + 80}" height="${height}" font-family="sans-serif" font-size="12">${rows.join('')}</svg>`;
+  return `<!doctype html><meta charset="utf-8"><title>Goodput by tier</title><h1>Requests answered in time, by tier</h1>${svg}`;
+}
--- /dev/null
+++ b/packages/trials/src/scenarios.ts
@@ -0,0 +1,54 @@
+import type * as fleets from './fleet.js';
+
+/** What happens in a scenario: the load as a share of the capacity, and a fault for its middle third. */
+export interface Scenario {
+  readonly load: number;
+  readonly start: (fleet: fleets.Fleet) => Promise<void>;
+  readonly heal: (fleet: fleets.Fleet) => Promise<void>;
+}
+
+async function nothing(): Promise<void> {
+  // No fault.
+}
+
+/** The host that keeps the first service's cell. */
+async function keeperOf(fleet: fleets.Fleet): Promise<fleets.Host> {
+  const [{name}] = fleet.plan.services;
+  for (const host of fleet.running) {
+    const status = await fleet.operator<{
+      readonly cells: readonly {readonly cell: string}[];
+    }>(host, '/operator/status');
+    if (status.cells.some(({cell}) => cell === name)) return host;
+  }
+  return fleet.running[0];
+}
+
+/** The scenarios by name. */
+export const SCENARIOS: Readonly<Record<string, Scenario>> = {
+  'steady-70': {load: 0.7, start: nothing, heal: nothing},
+  'burst-150': {load: 1.5, start: nothing, heal: nothing},
+  'engine-slow': {
+    load: 0.7,
+    start: fleet => fleet.fault(fleet.backends[0], {slowFactor: 20}),
+    heal: nothing,
+  },
+  'runner-killed': {
+    load: 0.7,
+    start: async fleet => {
+      fleet.backends[0].process.child.kill('SIGKILL');
+    },
+    heal: nothing,
+  },
+  'host-killed': {
+    load: 1.2,
+    start: async fleet => {
+      (await keeperOf(fleet)).process.child.kill('SIGKILL');
+    },
+    heal: nothing,
+  },
+  'table-away': {
+    load: 0.7,
+    start: fleet => fleet.platformFault({isDown: true}),
+    heal: fleet => fleet.platformFault({isDown: false}),
+  },
+};
