--- a/packages/daemon/src/console.ts
+++ b/packages/daemon/src/console.ts
@@ -20,6 +20,7 @@
   readonly store: moves.MoveStore;
   readonly timeline: timelines.Timeline;
   readonly isReady: () => boolean;
+  readonly usage: () => operators.console.Usage;
 }
 
 /** What this host does for operators. */
@@ -75,6 +76,7 @@
       })),
       cells: keeper.status(),
       suspectRequests: crashes.size,
+      usage: this.options.usage(),
     };
   }
 
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -30,6 +30,7 @@
 
 const DRAIN_POLL_MS = 100;
 const GAUGE_MS = 1000;
+const US_PER_MS = 1000;
 const BACKLOG = 4096;
 
 /** One host: wires its parts together, starts and stops them. */
@@ -169,6 +170,7 @@
       ...{keeper: this.keeper, crashes: this.crashes, store: this.store},
       timeline: this.timeline,
       isReady: () => this.isReady,
+      usage: () => this.usage(),
     });
     const operatorApp = operators.app.app(console, settings.operatorKeySha256);
     await this.listen(settings.operatorListen, operatorApp.callback());
@@ -340,15 +342,28 @@
     });
   }
 
-  private reportGauges(): void {
+  private usage(): operators.console.Usage {
     const {sentItems, sentBytes} = this.links.traffic;
     const {commits, rows} = this.claims.counts;
+    const {user, system} = process.cpuUsage();
+    const {heapUsed, rss} = process.memoryUsage();
+    return {
+      cpuMs: (user + system) / US_PER_MS,
+      heapBytes: heapUsed,
+      rssBytes: rss,
+      peerItems: sentItems,
+      peerBytes: sentBytes,
+      claimCommits: commits,
+      claimRows: rows,
+    };
+  }
+
+  private reportGauges(): void {
     this.metrics.gauge('inFlight', this.requests.total);
     this.metrics.gauge('configNumber', this.configs.current.number);
-    this.metrics.gauge('peerItems', sentItems);
-    this.metrics.gauge('peerBytes', sentBytes);
-    this.metrics.gauge('claimCommits', commits);
-    this.metrics.gauge('claimRows', rows);
+    for (const [name, value] of Object.entries(this.usage())) {
+      this.metrics.gauge(name, value);
+    }
   }
 }
 
--- a/packages/operators/src/console.ts
+++ b/packages/operators/src/console.ts
@@ -60,6 +60,17 @@
   }[];
 }
 
+/** What a host has used since its start, and the memory it has now. */
+export interface Usage {
+  readonly cpuMs: number;
+  readonly heapBytes: number;
+  readonly rssBytes: number;
+  readonly peerItems: number;
+  readonly peerBytes: number;
+  readonly claimCommits: number;
+  readonly claimRows: number;
+}
+
 /** The state of one host, for operators. */
 export interface Status {
   readonly host: string;
@@ -68,6 +79,7 @@
   readonly hosts: readonly HostStatus[];
   readonly cells: readonly CellStatus[];
   readonly suspectRequests: number;
+  readonly usage: Usage;
 }
 
 /** A request to move a service to a version by a time. */
--- /dev/null
+++ b/packages/trials/src/path.test.ts
@@ -0,0 +1,238 @@
+import * as assert from 'node:assert/strict';
+import * as childProcess from 'node:child_process';
+import * as fs from 'node:fs';
+import * as os from 'node:os';
+import * as path from 'node:path';
+import * as test from 'node:test';
+import * as util from 'node:util';
+
+import * as standins from '@banyanhall/standins';
+import got from 'got';
+
+import * as callers from './caller.js';
+import * as fleets from './fleet.js';
+import * as plans from './plans.js';
+import * as processes from './processes.js';
+
+const execFile = util.promisify(childProcess.execFile);
+
+const fleet = await fleets.Fleet.start({
+  ...plans.COOPERATIVE,
+  keepsTimeline: true,
+});
+const caller = new callers.Caller(fleet.hosts.map(host => host.callerUrl));
+
+test.after(async () => {
+  caller.close();
+  await fleet.stop();
+});
+
+const CHAT = {
+  account: 'sharqia',
+  profile: 'gate',
+  service: 'tray-scribe',
+  maxTokens: 12,
+  timeoutMs: 20_000,
+};
+
+/** What a host answers to a request made by hand. */
+async function raw(
+  body: string,
+  headers: Readonly<Record<string, string>> = {},
+) {
+  const [host] = fleet.hosts;
+  const response = await got.post(`${host.callerUrl}/v1/chat/completions`, {
+    body,
+    headers: {authorization: 'Bearer key-sharqia', ...headers},
+    throwHttpErrors: false,
+    retry: {limit: 0},
+  });
+  const {error} = JSON.parse(response.body) as {
+    readonly error?: {readonly type: string; readonly verdict: string};
+  };
+  return {
+    status: response.statusCode,
+    type: error?.type,
+    verdict: error?.verdict,
+    header: response.headers['banyanhall-verdict'],
+  };
+}
+
+/** Runs the operators' tool; resolves to its exit code and output. */
+async function tool(...args: readonly string[]) {
+  const script = processes.scriptPath('cli', 'main.js');
+  const env = {...process.env, ...fleet.operatorEnv};
+  return execFile(process.execPath, [script, ...args], {env}).then(
+    ({stdout}) => ({code: 0, stdout, stderr: ''}),
+    (error: {code: number; stdout: string; stderr: string}) => error,
+  );
+}
+
+test.test('a streamed answer is whole', async () => {
+  const prompt = 'request stream';
+  const told = await caller.chat({...CHAT, prompt});
+  assert.equal(told.text, standins.batch.answerText(prompt, CHAT.maxTokens));
+});
+
+test.test('a whole answer comes in one piece', async () => {
+  const [host] = fleet.hosts;
+  const content = 'request whole';
+  const answer = await got
+    .post(`${host.callerUrl}/v1/chat/completions`, {
+      json: {
+        model: CHAT.service,
+        messages: [{role: 'user', content}],
+        max_tokens: 5,
+      },
+      headers: {authorization: 'Bearer key-sharqia'},
+    })
+    .json<{choices: {message: {content: string}}[]}>();
+  const [choice] = answer.choices;
+  assert.equal(choice.message.content, standins.batch.answerText(content, 5));
+});
+
+test.test('a ledger write runs once and is replayed', async () => {
+  const send = () =>
+    caller.plain('depot', 'credit', 'tray-ledger/credits', {a: 1}, 'key-1');
+  const first = await send();
+  assert.ok(first.isWhole, first.failure);
+  let second = await send();
+  while (second.failure === 'outcome-unknown') second = await send();
+  assert.equal(second.text, first.text);
+  const effects = fleet.effects.filter(effect => effect.key === 'key-1');
+  assert.equal(effects.length, 1);
+});
+
+test.test('the same key with other arguments is a conflict', async () => {
+  const send = (body: object) =>
+    caller.plain('depot', 'credit', 'tray-ledger/credits', body, 'key-2');
+  await send({a: 1});
+  const other = await send({a: 2});
+  assert.equal(other.failure, 'idempotency-conflict');
+});
+
+test.test('bad input is refused and says not-run', async () => {
+  const good = JSON.stringify({model: 'tray-scribe', messages: [{}]});
+  const cases = [
+    [await raw(good, {authorization: 'Bearer nobody'}), 401, 'unauthorized'],
+    [await raw(good, {'banyanhall-profile': 'x'}), 400, 'unknown-profile'],
+    [await raw('{"model": "x", "messages": [{}]}'), 404, 'unknown-service'],
+    [await raw('{'), 400, 'invalid-request'],
+    [await raw('x'.repeat(1_100_000)), 413, 'request-too-large'],
+  ] as const;
+  for (const [answer, status, type] of cases) {
+    assert.equal(answer.type, type);
+    assert.equal(answer.status, status);
+    assert.equal(answer.verdict, 'not-run');
+    assert.equal(answer.header, 'not-run');
+  }
+});
+
+test.test('an event id of another account opens nothing', async () => {
+  const body = JSON.stringify({model: 'tray-scribe', messages: [{}]});
+  const answer = await raw(body, {'last-event-id': 'AAAAAAAAAAAAAAAA'});
+  assert.equal(answer.type, 'invalid-request');
+});
+
+test.test('a caller key opens nothing of the operators', async () => {
+  const [host] = fleet.hosts;
+  const response = await got(`${host.operatorUrl}/operator/status`, {
+    headers: {authorization: 'Bearer key-sharqia'},
+    throwHttpErrors: false,
+  });
+  assert.equal(response.statusCode, 401);
+});
+
+test.test('apply names the line of a mistake and changes nothing', async () => {
+  const folder = fs.mkdtempSync(path.join(os.tmpdir(), 'banyanhall-'));
+  const file = path.join(folder, 'bad.yaml');
+  fs.writeFileSync(file, 'profiles:\n  - name: p\n    tiers: 1\n');
+  const before = await tool('config', 'history', '--json');
+  const applied = await tool('apply', file);
+  assert.equal(applied.code, 2);
+  assert.match(applied.stderr, /bad\.yaml:3: .*tiers/);
+  const after = await tool('config', 'history', '--json');
+  assert.equal(after.stdout, before.stdout);
+  fs.rmSync(folder, {recursive: true});
+});
+
+test.test('a change is in force on every host after apply --wait', async () => {
+  const folder = fs.mkdtempSync(path.join(os.tmpdir(), 'banyanhall-'));
+  const file = path.join(folder, 'good.yaml');
+  fs.writeFileSync(
+    file,
+    'profiles:\n  - {name: night, tier: 3, deadlineMs: 9000, idempotent: true}\n',
+  );
+  const applied = await tool('apply', file, '--wait');
+  assert.equal(applied.code, 0, applied.stderr);
+  for (const {name} of fleet.hosts) {
+    assert.match(applied.stdout, new RegExp(`${name}: in force`));
+  }
+  const shown = await tool('profile', 'get', 'night');
+  assert.match(shown.stdout, /"tier": 3/);
+  fs.rmSync(folder, {recursive: true});
+});
+
+test.test('the time line opens as a trace', async () => {
+  const folder = fs.mkdtempSync(path.join(os.tmpdir(), 'banyanhall-'));
+  const file = path.join(folder, 'trace.json');
+  assert.equal((await tool('timeline', '--trace', file)).code, 0);
+  const trace = JSON.parse(fs.readFileSync(file, 'utf8')) as {
+    readonly traceEvents: readonly {readonly ph: string}[];
+  };
+  assert.ok(trace.traceEvents.some(event => event.ph === 'b'));
+  fs.rmSync(folder, {recursive: true});
+});
+
+test.test(
+  'a stream goes on at another host when its host is killed',
+  async () => {
+    const prompt = 'request killed';
+    const order = {...CHAT, prompt, maxTokens: 150};
+    const answer = caller.chat(order);
+    const dispatched = await until(() =>
+      fleet.events.find(event => {
+        return event.kind === 'first-token' && isOf(event, prompt);
+      }),
+    );
+    const host = fleet.hosts.find(({name}) => name === dispatched.host);
+    host?.process.child.kill('SIGKILL');
+    const told = await answer;
+    assert.equal(told.text, standins.batch.answerText(prompt, 150));
+    assert.ok(told.resumes > 0);
+  },
+);
+
+test.test('the other hosts serve on after a kill', async () => {
+  const told = await caller.plain('depot', 'credit', 'tray-ledger/x', {});
+  assert.ok(told.isWhole, told.failure);
+  const chat = await caller.chat({...CHAT, prompt: 'request after'});
+  assert.ok(chat.isWhole, chat.failure);
+});
+
+test.test('a host that stops cuts nothing off', async () => {
+  const [host] = fleet.running;
+  const prompts = Array.from({length: 6}, (_, i) => `request stop ${i}`);
+  const answers = prompts.map(prompt =>
+    caller.chat({...CHAT, prompt, maxTokens: 80}),
+  );
+  host.process.child.kill('SIGTERM');
+  for (const told of await Promise.all(answers)) {
+    assert.ok(told.isWhole, told.failure);
+    assert.equal(told.resumes, 0);
+  }
+  assert.equal(await host.process.ended, 0);
+});
+
+function isOf(event: fleets.FleetEvent, prompt: string): boolean {
+  const run = fleet.runs.find(each => each.streamId === event.requestId);
+  return run?.promptTail === prompt;
+}
+
+async function until<T>(find: () => T | undefined): Promise<T> {
+  for (;;) {
+    const found = find();
+    if (found) return found;
+    await new Promise(resolve => setTimeout(resolve, 5));
+  }
+}
--- a/packages/trials/src/relay.ts
+++ b/packages/trials/src/relay.ts
@@ -5,6 +5,8 @@
 
 /** A TCP relay on loopback that stands for a network which can fail. */
 export class Relay {
+  /** Bytes that passed, both ways. */
+  passedBytes = 0;
   private state: RelayState = 'open';
   private readonly pairs = new Set<readonly [net.Socket, net.Socket]>();
 
@@ -63,6 +65,9 @@
       socket.setNoDelay(true);
       socket.on('error', end);
       socket.on('close', end);
+      socket.on('data', (chunk: Buffer) => {
+        this.passedBytes += chunk.length;
+      });
     }
     near.pipe(far);
     far.pipe(near);
--- /dev/null
+++ b/packages/trials/src/slopes.ts
@@ -0,0 +1,265 @@
+import * as crypto from 'node:crypto';
+import * as util from 'node:util';
+
+import type * as decisions from '@banyanhall/decisions';
+import type * as operators from '@banyanhall/operators';
+import got from 'got';
+
+import * as callers from './caller.js';
+import * as figures from './figures.js';
+import * as fleets from './fleet.js';
+import * as plans from './plans.js';
+
+const SETTLE_MS = 4000;
+const WINDOW_MS = 10_000;
+const CHANGE_COUNT = 8;
+const ACCOUNTS_IN_ONE_CHANGE = 2000;
+
+interface Reading {
+  readonly atMs: number;
+  readonly usages: readonly operators.console.Usage[];
+  readonly peerWireBytes: number;
+  readonly storeWireBytes: number;
+  readonly store: {readonly reads: number; readonly writes: number};
+}
+
+/** The use of a host a second, over a window, as the mean of all hosts. */
+interface Rates {
+  readonly cpuPercent: number;
+  readonly peerWireBytesPerS: number;
+  readonly storeWireBytesPerS: number;
+  readonly peerItemsPerS: number;
+  readonly heapMb: number;
+  readonly rssMb: number;
+  readonly storeReadsPerS: number;
+  readonly storeWritesPerS: number;
+}
+
+async function read(fleet: fleets.Fleet): Promise<Reading> {
+  const statuses = await Promise.all(
+    fleet.running.map(host =>
+      fleet.operator<operators.console.Status>(host, '/operator/status'),
+    ),
+  );
+  const store = await got(`${fleet.platformUrl}/counts`).json<{
+    readonly reads: number;
+    readonly writes: number;
+  }>();
+  const wire = (pick: (host: fleets.Host) => number) =>
+    fleet.hosts.reduce((sum, host) => sum + pick(host), 0);
+  return {
+    atMs: performance.now(),
+    usages: statuses.map(status => status.usage),
+    peerWireBytes: wire(host => host.peerRelay.passedBytes),
+    storeWireBytes: wire(host => host.platformRelay.passedBytes),
+    store,
+  };
+}
+
+function between(first: Reading, last: Reading): Rates {
+  const seconds = (last.atMs - first.atMs) / 1000;
+  const hosts = last.usages.length;
+  const mean = (pick: (usage: operators.console.Usage) => number) =>
+    last.usages.reduce((sum, usage) => sum + pick(usage), 0) / hosts;
+  const rate = (pick: (usage: operators.console.Usage) => number) => {
+    const before = first.usages.reduce((sum, usage) => sum + pick(usage), 0);
+    const after = last.usages.reduce((sum, usage) => sum + pick(usage), 0);
+    return (after - before) / hosts / seconds;
+  };
+  const mb = 1024 * 1024;
+  return {
+    cpuPercent: rate(usage => usage.cpuMs) / 10,
+    peerWireBytesPerS:
+      (last.peerWireBytes - first.peerWireBytes) / hosts / seconds,
+    storeWireBytesPerS:
+      (last.storeWireBytes - first.storeWireBytes) / hosts / seconds,
+    peerItemsPerS: rate(usage => usage.peerItems),
+    heapMb: mean(usage => usage.heapBytes) / mb,
+    rssMb: mean(usage => usage.rssBytes) / mb,
+    storeReadsPerS: (last.store.reads - first.store.reads) / seconds,
+    storeWritesPerS: (last.store.writes - first.store.writes) / seconds,
+  };
+}
+
+async function window(
+  fleet: fleets.Fleet,
+  work: () => Promise<void> = () => pause(WINDOW_MS),
+): Promise<Rates> {
+  const first = await read(fleet);
+  await work();
+  return between(first, await read(fleet));
+}
+
+function print(label: string, rates: Rates, note = ''): void {
+  const cells = figures.row(
+    rates.cpuPercent.toFixed(2),
+    Math.round(rates.peerWireBytesPerS),
+    Math.round(rates.storeWireBytesPerS),
+    rates.peerItemsPerS.toFixed(1),
+    rates.heapMb.toFixed(1),
+    rates.rssMb.toFixed(0),
+    rates.storeReadsPerS.toFixed(1),
+    rates.storeWritesPerS.toFixed(1),
+  );
+  console.log(`${label.padEnd(28)}${cells}  ${note}`);
+}
+
+function printHeader(): void {
+  const cells = figures.row(
+    ...['cpu %', 'peer B/s', 'store B/s', 'items/s'],
+    ...['heap MB', 'rss MB', 'reads/s', 'writes/s'],
+  );
+  console.log(`${'per host (store: all)'.padEnd(28)}${cells}`);
+}
+
+function plan(hosts: number): fleets.FleetPlan {
+  return {
+    ...plans.COOPERATIVE,
+    hosts,
+    places: Array.from({length: 13}, (_, i) => ({
+      region: `region-${(i % 5) + 1}`,
+      zone: `zone-${i + 1}`,
+    })),
+  };
+}
+
+/** Hosts without load: what membership and configuration cost. */
+async function idle(hosts: number): Promise<void> {
+  const fleet = await fleets.Fleet.start(plan(hosts));
+  try {
+    await pause(SETTLE_MS);
+    print(`idle, ${hosts} hosts`, await window(fleet));
+    await changes(fleet, hosts);
+  } finally {
+    await fleet.stop();
+  }
+}
+
+/** Changes of the configuration one after the other, each until it is in force everywhere. */
+async function changes(fleet: fleets.Fleet, hosts: number): Promise<void> {
+  const timesMs: number[] = [];
+  const rates = await window(fleet, async () => {
+    for (let i = 0; i < CHANGE_COUNT; i++) {
+      const profile = {...plans.PROFILES[0], deadlineMs: 8000 + i};
+      const startedMs = performance.now();
+      await fleet.change([
+        {entry: 'profile', name: profile.name, value: profile},
+      ]);
+      timesMs.push(performance.now() - startedMs);
+    }
+  });
+  const p50 = figures.quantile(timesMs, 0.5).toFixed(0);
+  const most = Math.max(...timesMs).toFixed(0);
+  print(
+    `changes, ${hosts} hosts`,
+    rates,
+    `in force: median ${p50} ms, most ${most} ms`,
+  );
+}
+
+/** Requests at rising rates: what a request costs the host, and what it sends to keepers. */
+async function requests(perS: number, isCredit: boolean): Promise<void> {
+  const fleet = await fleets.Fleet.start(plan(8));
+  const caller = new callers.Caller(fleet.hosts.map(host => host.callerUrl));
+  try {
+    await pause(SETTLE_MS);
+    const rates = await window(fleet, () => sendFor(caller, perS, isCredit));
+    const kind = isCredit ? 'claimed calls' : 'chats of 4 tokens';
+    const status = await read(fleet);
+    const commits = status.usages.reduce((sum, u) => sum + u.claimCommits, 0);
+    const rows = status.usages.reduce((sum, u) => sum + u.claimRows, 0);
+    const note = isCredit ? `${rows} claim rows in ${commits} commits` : '';
+    print(`${perS}/s ${kind}, 8 hosts`, rates, note);
+  } finally {
+    caller.close();
+    await fleet.stop();
+  }
+}
+
+async function sendFor(
+  caller: callers.Caller,
+  perS: number,
+  isCredit: boolean,
+): Promise<void> {
+  const [account] = plans.COOPERATIVE.accounts;
+  const pending: Promise<unknown>[] = [];
+  const count = Math.round((perS * WINDOW_MS) / 1000);
+  for (let i = 0; i < count; i++) {
+    const order = {
+      ...{account, profile: 'gate', service: 'tray-scribe'},
+      ...{prompt: `request ${i}`, maxTokens: 4, timeoutMs: 10_000},
+    };
+    pending.push(
+      isCredit
+        ? caller.plain(account, 'credit', 'tray-ledger/credits', {})
+        : caller.chat(order),
+    );
+    await pause(1000 / perS);
+  }
+  await Promise.all(pending);
+}
+
+/** Client accounts: what a large configuration costs in memory. */
+async function accounts(count: number): Promise<void> {
+  const fleet = await fleets.Fleet.start(plan(8));
+  try {
+    for (let at = 0; at < count; at += ACCOUNTS_IN_ONE_CHANGE) {
+      await fleet.change(
+        accountEdits(at, Math.min(count, at + ACCOUNTS_IN_ONE_CHANGE)),
+      );
+    }
+    await pause(SETTLE_MS);
+    print(`${count} accounts, 8 hosts`, await window(fleet));
+    await changes(fleet, 8);
+  } finally {
+    await fleet.stop();
+  }
+}
+
+function accountEdits(
+  from: number,
+  to: number,
+): readonly decisions.config.Edit[] {
+  return Array.from({length: to - from}, (_, i) => {
+    const name = `account-${from + i}`;
+    const value = {
+      name,
+      keySha256: crypto.createHash('sha256').update(name).digest('hex'),
+      profiles: ['gate', 'clerk', 'batch'],
+      maxInFlight: 64,
+      weight: 1,
+    };
+    return {entry: 'account', name, value};
+  });
+}
+
+function pause(ms: number): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, ms));
+}
+
+const SECTIONS: Readonly<Record<string, () => Promise<void>>> = {
+  hosts: async () => {
+    for (const hosts of [8, 16, 32, 64]) await idle(hosts);
+  },
+  requests: async () => {
+    for (const perS of [20, 40, 80]) await requests(perS, false);
+  },
+  claims: async () => {
+    for (const perS of [20, 40, 80]) await requests(perS, true);
+  },
+  accounts: async () => {
+    for (const count of [1000, 10_000, 34_000]) await accounts(count);
+  },
+};
+
+async function main(): Promise<void> {
+  const {values} = util.parseArgs({
+    options: {
+      section: {type: 'string', default: Object.keys(SECTIONS).join(',')},
+    },
+  });
+  printHeader();
+  for (const name of values.section.split(',')) await SECTIONS[name]();
+}
+
+await main();
