--- /dev/null
+++ b/packages/trials/src/matrixpage.ts
@@ -0,0 +1,7 @@
+import * as fs from 'node:fs';
+
+import * as matrix from './matrix.js';
+
+const PAGE = new URL('../../../docs/FAULT-MATRIX.md', import.meta.url);
+
+fs.writeFileSync(PAGE, matrix.page());
