--- a/packages/standins/src/plain.ts
+++ b/packages/standins/src/plain.ts
@@ -95,7 +95,8 @@
       ctx.res.destroy();
       return;
     }
-    if (ctx.get('x-service-version') === this.behaviour.badVersion) {
+    const {badVersion} = this.behaviour;
+    if (badVersion !== '' && ctx.get('x-service-version') === badVersion) {
       ctx.status = 500;
       return;
     }
--- /dev/null
+++ b/packages/trials/src/overhead.ts
@@ -0,0 +1,83 @@
+import * as http from 'node:http';
+
+import type * as operators from '@banyanhall/operators';
+import got from 'got';
+
+import * as figures from './figures.js';
+import * as fleets from './fleet.js';
+import * as plans from './plans.js';
+
+const WARM_UP = 500;
+const REQUESTS = 3000;
+const WORKERS = 4;
+
+interface Target {
+  readonly url: string;
+  readonly headers: Readonly<Record<string, string>>;
+}
+
+const agent = new http.Agent({keepAlive: true});
+
+/** Sends requests from a few workers and returns the time of each to its whole answer. */
+async function send(target: Target, count: number): Promise<readonly number[]> {
+  const timesMs: number[] = [];
+  let left = count;
+  const worker = async () => {
+    while (left > 0) {
+      left--;
+      const startedMs = performance.now();
+      await got(target.url, {headers: target.headers, agent: {http: agent}});
+      timesMs.push(performance.now() - startedMs);
+    }
+  };
+  await Promise.all(Array.from({length: WORKERS}, worker));
+  return timesMs;
+}
+
+/** What one host adds to a call of a plain service, against calling the stand-in itself. */
+async function main(): Promise<void> {
+  const fleet = await fleets.Fleet.start({
+    ...plans.COOPERATIVE,
+    hosts: 1,
+    services: [
+      {
+        ...{name: 'balance', kind: 'plain', fencing: 'ignored'},
+        behaviours: [{delayMs: 0}],
+        ...{slotTokens: 64, maxRunning: 16},
+      },
+    ],
+  });
+  const [host] = fleet.hosts;
+  const direct = {url: `${fleet.backends[0].server.url}/balance`, headers: {}};
+  const through = {
+    url: `${host.callerUrl}/services/balance/balance`,
+    headers: {
+      authorization: 'Bearer key-depot',
+      'banyanhall-profile': 'gate',
+    },
+  };
+  const cpuMs = async () => {
+    const status = await fleet.operator<operators.console.Status>(
+      host,
+      '/operator/status',
+    );
+    return status.usage.cpuMs;
+  };
+  try {
+    await send(direct, WARM_UP);
+    await send(through, WARM_UP);
+    const directMs = await send(direct, REQUESTS);
+    const beforeMs = await cpuMs();
+    const throughMs = await send(through, REQUESTS);
+    const usedMs = ((await cpuMs()) - beforeMs) / REQUESTS;
+    const [a, b] = [directMs, throughMs].map(t => figures.quantile(t, 0.5));
+    console.log(`direct: median ${a.toFixed(2)} ms`);
+    console.log(`through one host: median ${b.toFixed(2)} ms`);
+    console.log(`added: ${(b - a).toFixed(2)} ms, processor ${usedMs.toFixed(2)} ms a request`);
+  } finally {
+    agent.destroy();
+    await fleet.stop();
+  }
+}
+
+await main();
