--- a/packages/daemon/src/keeper.ts
+++ b/packages/daemon/src/keeper.ts
@@ -31,9 +31,9 @@
 }
 
 type EffectHandlers = {
-  readonly [K in decisions.cell.CellEffect['kind']]: (
+  readonly [K in decisions.cellevents.CellEffect['kind']]: (
     name: string,
-    effect: Extract<decisions.cell.CellEffect, {kind: K}>,
+    effect: Extract<decisions.cellevents.CellEffect, {kind: K}>,
     waitMs: number,
   ) => void;
 };
@@ -140,18 +140,18 @@
     return [...this.cells.values()].flatMap(({cell}) => cell.waiting);
   }
 
-  private apply(name: string, event: decisions.cell.CellEvent): void {
+  private apply(name: string, event: decisions.cellevents.CellEvent): void {
     const kept = this.kept(name);
     if (!kept) return this.refuseUnknown(name, event);
     const nowMs = this.options.clock.monotonicMs();
     const applied = kept.cell.apply(event, nowMs);
     kept.cell = applied.cell;
     if (applied.effects.length === 0) return;
-    const waitMs = Math.ceil(applied.cell.waitMs(nowMs));
+    const waitMs = Math.ceil(applied.cell.estimate.lastWaitMs(nowMs));
     for (const effect of applied.effects) {
       const handler = this.effects[effect.kind] as (
         name: string,
-        effect: decisions.cell.CellEffect,
+        effect: decisions.cellevents.CellEffect,
         waitMs: number,
       ) => void;
       handler(name, effect, waitMs);
@@ -192,7 +192,10 @@
     return service ? decisions.cells.serversOf(service, key) : [];
   }
 
-  private refuseUnknown(name: string, event: decisions.cell.CellEvent): void {
+  private refuseUnknown(
+    name: string,
+    event: decisions.cellevents.CellEvent,
+  ): void {
     if (event.kind !== 'ask') return;
     const {ticket} = event;
     const reason = 'no-runner';
--- a/packages/daemon/src/slots.ts
+++ b/packages/daemon/src/slots.ts
@@ -69,7 +69,7 @@
 
 const REFUSALS: Readonly<
   Record<
-    decisions.cell.RefusalReason,
+    decisions.cellevents.RefusalReason,
     (retryAfterMs: number) => decisions.verdict.Failure
   >
 > = {
@@ -234,7 +234,7 @@
       return;
     }
     this.pending.delete(refuse.ticketId);
-    const reason = refuse.reason as decisions.cell.RefusalReason;
+    const reason = refuse.reason as decisions.cellevents.RefusalReason;
     this.options.timeline.record('refused', refuse.ticketId, {reason, tier});
     pending.reject(failed(REFUSALS[reason](refuse.retryAfterMs)));
   }
--- a/packages/decisions/src/cell.test.ts
+++ b/packages/decisions/src/cell.test.ts
@@ -5,6 +5,7 @@
 
 import * as cells from './cell.js';
 import * as checker from './cellchecker.js';
+import type * as events from './cellevents.js';
 import type * as config from './config.js';
 import type * as tickets from './ticket.js';
 
@@ -51,7 +52,7 @@
   return empty.apply({kind: 'configure', servers, versionsByServer}, 0).cell;
 }
 
-function ask(change: tickets.Ticket): cells.CellEvent {
+function ask(change: tickets.Ticket): events.CellEvent {
   return {kind: 'ask', ticket: change};
 }
 
@@ -235,7 +236,7 @@
 });
 
 /** The event that a step stands for at `nowMs`. */
-function eventOf(s: Step, nowMs: number): cells.CellEvent {
+function eventOf(s: Step, nowMs: number): events.CellEvent {
   const ticketId = `t${s.id}`;
   const runner = `s${s.id % 3}`;
   const asked = ticket(ticketId, {
--- a/packages/decisions/src/cell.ts
+++ b/packages/decisions/src/cell.ts
@@ -1,4 +1,6 @@
+import type * as events from './cellevents.js';
 import type * as config from './config.js';
+import * as estimates from './estimate.js';
 import * as rank from './rank.js';
 import * as runners from './runner.js';
 import * as tickets from './ticket.js';
@@ -23,55 +25,10 @@
 
 const NO_RUNNER_RETRY_MS = 1000;
 
-/** Why a ticket was turned away: `deadline` means it could not be met even on an idle cell. */
-export type RefusalReason = 'overloaded' | 'deadline' | 'no-runner';
-
-/** What a cell is told. */
-export type CellEvent =
-  | {readonly kind: 'ask'; readonly ticket: tickets.Ticket}
-  | {readonly kind: 'cancel'; readonly ticketId: string}
-  | {
-      readonly kind: 'done';
-      readonly ticketId: string;
-      readonly outcome: runners.Outcome;
-    }
-  | {
-      readonly kind: 'recover';
-      readonly host: string;
-      readonly running: readonly tickets.Running[];
-    }
-  | {readonly kind: 'adopt'; readonly held: tickets.Running}
-  | {readonly kind: 'host-gone'; readonly host: string}
-  | {
-      readonly kind: 'configure';
-      readonly servers: readonly config.BackendServer[];
-      readonly versionsByServer: ReadonlyMap<string, readonly string[]>;
-    }
-  | {
-      readonly kind: 'signal';
-      readonly runner: string;
-      readonly sign: 'live' | 'leaving' | 'unreachable';
-    }
-  | {readonly kind: 'tick'};
-
-/** What a cell wants done. */
-export type CellEffect =
-  | {
-      readonly kind: 'grant';
-      readonly ticket: tickets.Ticket;
-      readonly server: config.BackendServer;
-    }
-  | {
-      readonly kind: 'refuse';
-      readonly ticket: tickets.Ticket;
-      readonly reason: RefusalReason;
-      readonly retryAfterMs: number;
-    };
-
 /** A cell after an event, with what it wants done. */
 export interface Applied {
   readonly cell: Cell;
-  readonly effects: readonly CellEffect[];
+  readonly effects: readonly events.CellEffect[];
 }
 
 interface Cutoff {
@@ -93,9 +50,9 @@
 }
 
 type Handlers = {
-  readonly [K in CellEvent['kind']]: (
+  readonly [K in events.CellEvent['kind']]: (
     cell: Cell,
-    event: Extract<CellEvent, {kind: K}>,
+    event: Extract<events.CellEvent, {kind: K}>,
     nowMs: number,
   ) => Applied;
 };
@@ -138,15 +95,10 @@
     return [...this.fields.runners.values()];
   }
 
-  /** The expected wait of a ticket that comes last, in milliseconds. */
-  waitMs(nowMs: number): number {
-    const open = this.runners.filter(r => r.isOpen(nowMs));
-    if (open.length === 0 || this.fields.waiting.length === 0) return 0;
-    const workMs = this.fields.waiting.reduce(
-      (sum, t) => sum + this.fastestMs(t, nowMs) * open[0].shareOf(t),
-      0,
-    );
-    return workMs / open.length;
+  /** Expected times, as things stand. */
+  get estimate(): estimates.Estimate {
+    const {runners: all, waiting, running} = this.fields;
+    return new estimates.Estimate(all, waiting, running);
   }
 
   /** True while the cell still collects reports and grants nothing. */
@@ -157,10 +109,10 @@
   }
 
   /** The cell after `event` at `nowMs`, with what it wants done. */
-  apply(event: CellEvent, nowMs: number): Applied {
+  apply(event: events.CellEvent, nowMs: number): Applied {
     const handler = HANDLERS[event.kind] as (
       cell: Cell,
-      event: CellEvent,
+      event: events.CellEvent,
       nowMs: number,
     ) => Applied;
     const handled = handler(this, event, nowMs);
@@ -190,17 +142,18 @@
     if (this.waiting.some(t => t.id === ticket.id)) {
       return {cell: this, effects: []};
     }
-    const usable = this.usable(ticket, nowMs);
-    if (usable.length === 0)
+    const {estimate} = this;
+    if (estimate.usable(ticket, nowMs).length === 0) {
       return this.refuse(ticket, 'no-runner', NO_RUNNER_RETRY_MS);
-    const fastestMs = Math.min(...usable.map(r => r.expectedMs(ticket)));
+    }
+    const fastestMs = estimate.fastestMs(ticket, nowMs);
     if (nowMs + fastestMs > ticket.deadlineMs) {
       return this.refuse(ticket, 'deadline', 0);
     }
     if (this.isCutOff(ticket.tier, nowMs)) {
       return this.refuse(ticket, 'overloaded', CUTOFF_MS);
     }
-    const waitMs = this.expectedWaitMs(ticket, usable, nowMs);
+    const waitMs = estimate.waitMs(ticket, nowMs);
     if (nowMs + waitMs + fastestMs > ticket.deadlineMs) {
       return this.shed(ticket, waitMs, nowMs);
     }
@@ -221,7 +174,7 @@
       waiting: this.fields.waiting.filter(t => t.tier <= ticket.tier),
       cutoff,
     });
-    const effects = [...shedding, ticket].map((shed): CellEffect => ({
+    const effects = [...shedding, ticket].map((shed): events.CellEffect => ({
       kind: 'refuse',
       ticket: shed,
       reason: 'overloaded',
@@ -241,9 +194,7 @@
     const recentUse = this.fields.recentUse.add(held.ticket, nowMs);
     const runner = this.fields.runners.get(held.runner);
     if (!runner) return this.with({running, orphans, recentUse});
-    const freed = runner
-      .release(held.ticket, tickets.slotTokens(held.ticket))
-      .observe(outcome, nowMs);
+    const freed = runner.release(held.ticket).observe(outcome, nowMs);
     const next = new Map(this.fields.runners).set(freed.name, freed);
     return this.with({running, orphans, recentUse, runners: next});
   }
@@ -273,15 +224,11 @@
     if (running.has(held.ticket.id)) return this;
     const runner = all.get(held.runner);
     if (!runner) return this;
-    const tokens = tickets.slotTokens(held.ticket);
     const left = new Map(orphans);
     left.delete(held.ticket.id);
     return this.withoutWaiting(held.ticket.id).with({
       running: new Map(running).set(held.ticket.id, held),
-      runners: new Map(all).set(
-        runner.name,
-        runner.occupy(held.ticket, tokens),
-      ),
+      runners: new Map(all).set(runner.name, runner.occupy(held.ticket)),
       orphans: left,
     });
   }
@@ -357,17 +304,18 @@
       (c, held) => c.release(held.ticket.id, {kind: 'cancelled'}, nowMs),
       this,
     );
-    const effects: CellEffect[] = [];
+    const effects: events.CellEffect[] = [];
     const byTier = [...cell.waiting].sort((a, b) => b.tier - a.tier);
     for (const ticket of byTier) {
       if (!cell.waiting.includes(ticket)) continue;
-      if (cell.usable(ticket, nowMs).length === 0) {
+      if (cell.estimate.usable(ticket, nowMs).length === 0) {
         const refused = cell.refuse(ticket, 'no-runner', NO_RUNNER_RETRY_MS);
         cell = refused.cell.withoutWaiting(ticket.id);
         effects.push(...refused.effects);
         continue;
       }
-      if (nowMs + cell.fastestMs(ticket, nowMs) <= ticket.deadlineMs) continue;
+      if (nowMs + cell.estimate.fastestMs(ticket, nowMs) <= ticket.deadlineMs)
+        continue;
       const applied = cell.withoutWaiting(ticket.id).shed(ticket, 0, nowMs);
       cell = applied.cell;
       effects.push(...applied.effects);
@@ -388,7 +336,7 @@
 
   private refuse(
     ticket: tickets.Ticket,
-    reason: RefusalReason,
+    reason: events.RefusalReason,
     retryAfterMs: number,
   ): Applied {
     return {
@@ -397,20 +345,6 @@
     };
   }
 
-  private usable(
-    ticket: tickets.Ticket,
-    nowMs: number,
-  ): readonly runners.Runner[] {
-    const able = this.runners.filter(r => r.serves(ticket));
-    const open = able.filter(r => r.isOpen(nowMs));
-    return open.length > 0 ? open : able.filter(r => r.state === 'down');
-  }
-
-  private fastestMs(ticket: tickets.Ticket, nowMs: number): number {
-    const usable = this.usable(ticket, nowMs);
-    return Math.min(...usable.map(r => r.expectedMs(ticket)));
-  }
-
   private isCutOff(tier: config.Tier, nowMs: number): boolean {
     const {cutoff} = this.fields;
     return !!cutoff && nowMs < cutoff.untilMs && tier > cutoff.tier;
@@ -422,35 +356,6 @@
     return isStricter ? cutoff : {tier, untilMs: nowMs + CUTOFF_MS};
   }
 
-  /** The expected wait: work ahead of the ticket divided by the budget of the runners it may use. */
-  private expectedWaitMs(
-    ticket: tickets.Ticket,
-    usable: readonly runners.Runner[],
-    nowMs: number,
-  ): number {
-    const tokens = tickets.slotTokens(ticket);
-    const ahead = this.fields.waiting.filter(
-      t =>
-        t.tier < ticket.tier ||
-        (t.tier === ticket.tier && t.deadlineMs <= ticket.deadlineMs),
-    );
-    const fitsNow = usable.some(r => r.fits(ticket, tokens, nowMs));
-    if (fitsNow && ahead.length === 0) return 0;
-    const names = new Set(usable.map(r => r.name));
-    let workMs = 0;
-    for (const held of this.running) {
-      const runner = this.fields.runners.get(held.runner);
-      if (!runner || !names.has(held.runner)) continue;
-      const leftMs = held.grantedMs + runner.expectedMs(held.ticket) - nowMs;
-      workMs += Math.max(0, leftMs) * runner.shareOf(held.ticket);
-    }
-    const typical = usable[0];
-    for (const other of ahead) {
-      workMs += this.fastestMs(other, nowMs) * typical.shareOf(other);
-    }
-    return workMs / (usable.length * runners.TIER_CEILING[ticket.tier]);
-  }
-
   /** Grants in rank order; a ticket that does not fit keeps the runners it needs from those behind it. */
   private grantWhatFits(nowMs: number): Applied {
     if (this.fields.waiting.length === 0 || this.isRecovering(nowMs)) {
@@ -459,7 +364,7 @@
     const {running, waiting, recentUse} = this.fields;
     const usage = rank.Usage.of(running.values(), waiting, recentUse, nowMs);
     const blocked = new Set<string>();
-    const effects: CellEffect[] = [];
+    const effects: events.CellEffect[] = [];
     let cell = this.with({});
     for (const ticket of rank.ordered(this.waiting, usage)) {
       if (blocked.size >= this.fields.runners.size) break;
@@ -479,12 +384,11 @@
     blocked: ReadonlySet<string>,
     nowMs: number,
   ): runners.Runner | undefined {
-    const tokens = tickets.slotTokens(ticket);
     let best: runners.Runner | undefined;
     let bestMs = Infinity;
     for (const runner of this.fields.runners.values()) {
       if (blocked.has(runner.name) || !runner.serves(ticket)) continue;
-      if (!runner.fits(ticket, tokens, nowMs)) continue;
+      if (!runner.fits(ticket, nowMs)) continue;
       const linkMs = runner.server.region === ticket.region ? 0 : LINK_COST_MS;
       const scoreMs = runner.expectedMs(ticket) * (1 + runner.load) + linkMs;
       if (scoreMs >= bestMs) continue;
--- a/packages/decisions/src/cellchecker.ts
+++ b/packages/decisions/src/cellchecker.ts
@@ -1,4 +1,5 @@
 import type * as cells from './cell.js';
+import type * as events from './cellevents.js';
 import * as tickets from './ticket.js';
 
 /**
@@ -12,7 +13,7 @@
   private readonly open = new Set<string>();
 
   /** Takes in one event and what came of it. */
-  note(event: cells.CellEvent, applied: cells.Applied, nowMs: number): void {
+  note(event: events.CellEvent, applied: cells.Applied, nowMs: number): void {
     if (event.kind === 'ask') {
       this.open.add(event.ticket.id);
     }
@@ -25,7 +26,7 @@
     this.checkVanished(event, applied);
   }
 
-  private checkGrants(event: cells.CellEvent, applied: cells.Applied): void {
+  private checkGrants(event: events.CellEvent, applied: cells.Applied): void {
     for (const effect of applied.effects) {
       const {id} = effect.ticket;
       if (effect.kind !== 'grant') continue;
@@ -69,7 +70,7 @@
   }
 
   /** Every ticket that was asked for is waiting, running, answered or taken back. */
-  private checkVanished(event: cells.CellEvent, applied: cells.Applied): void {
+  private checkVanished(event: events.CellEvent, applied: cells.Applied): void {
     const {cell, effects} = applied;
     const answered = new Set(effects.map(effect => effect.ticket.id));
     const known = new Set([
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -2,6 +2,7 @@
 export * as cell from './cell.js';
 export * as claim from './claim.js';
 export * as clock from './clock.js';
+export * as cellevents from './cellevents.js';
 export * as cells from './cells.js';
 export * as config from './config.js';
 export * as evidence from './evidence.js';
--- a/packages/decisions/src/runner.ts
+++ b/packages/decisions/src/runner.ts
@@ -126,7 +126,7 @@
   }
 
   /** True when the ticket fits under its tier's ceiling now. */
-  fits(ticket: tickets.Ticket, tokens: number, nowMs: number): boolean {
+  fits(ticket: tickets.Ticket, nowMs: number): boolean {
     if (!this.isOpen(nowMs) || this.fields.hasSuspect) return false;
     if (this.fields.running === 0) return true;
     if (ticket.isSuspect) return false;
@@ -134,7 +134,8 @@
     const {server, usedTokens, running} = this.fields;
     const maxRunning = Math.max(1, Math.floor(server.maxRunning * ceiling));
     return (
-      running < maxRunning && usedTokens + tokens <= server.slotTokens * ceiling
+      running < maxRunning &&
+      usedTokens + tickets.slotTokens(ticket) <= server.slotTokens * ceiling
     );
   }
 
@@ -152,11 +153,11 @@
   }
 
   /** The runner with the ticket in a slot. */
-  occupy(ticket: tickets.Ticket, tokens: number): Runner {
+  occupy(ticket: tickets.Ticket): Runner {
     const {usedTokens, running, cached, server} = this.fields;
     const maxBlocks = Math.ceil(server.slotTokens / prefix.BLOCK_TOKENS);
     return this.with({
-      usedTokens: usedTokens + tokens,
+      usedTokens: usedTokens + tickets.slotTokens(ticket),
       running: running + 1,
       cached: cached.used(ticket.chain, maxBlocks),
       hasSuspect: this.fields.hasSuspect || ticket.isSuspect,
@@ -164,10 +165,10 @@
   }
 
   /** The runner after the ticket gave its slot back. */
-  release(ticket: tickets.Ticket, tokens: number): Runner {
+  release(ticket: tickets.Ticket): Runner {
     const {usedTokens, running, hasSuspect} = this.fields;
     return this.with({
-      usedTokens: usedTokens - tokens,
+      usedTokens: usedTokens - tickets.slotTokens(ticket),
       running: running - 1,
       hasSuspect: hasSuspect && !ticket.isSuspect,
     });
--- a/packages/trials/src/overhead.ts
+++ b/packages/trials/src/overhead.ts
@@ -73,7 +73,9 @@
     const [a, b] = [directMs, throughMs].map(t => figures.quantile(t, 0.5));
     console.log(`direct: median ${a.toFixed(2)} ms`);
     console.log(`through one host: median ${b.toFixed(2)} ms`);
-    console.log(`added: ${(b - a).toFixed(2)} ms, processor ${usedMs.toFixed(2)} ms a request`);
+    console.log(
+      `added: ${(b - a).toFixed(2)} ms, processor ${usedMs.toFixed(2)} ms a request`,
+    );
   } finally {
     agent.destroy();
     await fleet.stop();
