Slots: a caller that left first gets none; the last host keeps its own cells as it leaves

Both found by reading: an abort before the wait was never heard, and a host that leaves last sent its releases to nobody, so that its waiting requests would not have been granted. Tests seen failing first.

--- a/packages/daemon/src/slots.test.ts
+++ b/packages/daemon/src/slots.test.ts
@@ -164,6 +164,7 @@
   tier: decisions.config.Tier,
   leftMs: number,
   outputTokens = 100,
+  signal = new AbortController().signal,
 ): Asked {
   serial++;
   const asked: Asked = {id: `r${serial}`, host, tier};
@@ -179,7 +180,7 @@
     version: '',
     isSuspect: false,
   };
-  void host.slots.acquire(wanted, new AbortController().signal).then(
+  void host.slots.acquire(wanted, signal).then(
     grant => {
       asked.grant = grant;
     },
@@ -226,6 +227,27 @@
   },
 );
 
+test.test('a caller that has left already gets no slot', async () => {
+  const fleet = new TestFleet(NAMES);
+  const left = AbortSignal.abort();
+  const asked = ask(fleet, anyHost(fleet, 0), 2, 60_000, 100, left);
+  fleet.deliver();
+  await settled();
+  assert.equal(asked.failure, 'cancelled');
+});
+
+test.test('the last host keeps its slots in order as it leaves', async () => {
+  const fleet = new TestFleet(['h1']);
+  const all: Asked[] = [];
+  for (let i = 0; i < 30; i++) {
+    all.push(ask(fleet, anyHost(fleet, 0), 2, 60_000));
+  }
+  fleet.deliver();
+  fleet.members = [];
+  await finishAll(fleet, all);
+  assert.ok(all.every(each => each.grant));
+});
+
 /** Gives every granted slot back, again and again, until nothing is granted any more. */
 async function finishAll(fleet: TestFleet, all: readonly Asked[]) {
   const done = new Set<Asked>();
--- a/packages/daemon/src/slots.ts
+++ b/packages/daemon/src/slots.ts
@@ -121,6 +121,9 @@
 
   /** Waits for a slot; rejects with FailureError (not-run) when refused, late or cancelled. */
   acquire(wanted: Wanted, signal: AbortSignal): Promise<Grant> {
+    if (signal.aborted) {
+      return Promise.reject(failed(limits.abortFailure(signal, 'not-run')));
+    }
     const cells = this.cellsByLoad(wanted.service);
     if (cells.length === 0) {
       return Promise.reject(failed(REFUSALS['no-runner'](0)));
@@ -269,7 +272,7 @@
 
   private ask(pending: Pending): void {
     const {wanted, cell} = pending;
-    const keeper = this.keeperOf(cell) ?? this.options.host;
+    const keeper = this.keeperOf(cell);
     const askedMs = this.options.clock.monotonicMs();
     this.pending.set(wanted.requestId, {...pending, keeper, askedMs});
     this.options.timeline.record('asked', wanted.requestId, {cell, keeper});
@@ -315,13 +318,14 @@
   }
 
   private toKeeper(cell: string, item: peers.messages.Item): void {
-    const keeper = this.keeperOf(cell);
-    if (keeper) this.options.router.send(keeper, item);
+    this.options.router.send(this.keeperOf(cell), item);
   }
 
-  private keeperOf(cell: string): string | undefined {
+  /** The keeper of a cell; this host itself when it is the last one and leaving. */
+  private keeperOf(cell: string): string {
     const key = decisions.cells.cellKey(cell);
-    return decisions.cells.keeper(key, this.options.serving());
+    const {serving, host} = this.options;
+    return decisions.cells.keeper(key, serving()) ?? host;
   }
 
   private noteLoad(cell: string, waitMs: number): void {
