--- a/packages/trials/src/path.test.ts
+++ b/packages/trials/src/path.test.ts
@@ -7,6 +7,7 @@
 import * as util from 'node:util';
 
 import * as standins from '@banyanhall/standins';
+import * as eventsource from 'eventsource-parser';
 import got from 'got';
 
 import * as callers from './caller.js';
@@ -128,6 +129,98 @@
   }
 });
 
+interface Piece {
+  readonly text: string;
+  readonly lastEventId: string;
+  readonly status: number;
+}
+
+/** Reads a stream at one host until it has `enough` characters, then hangs up. */
+async function piece(
+  host: fleets.Host,
+  account: string,
+  prompt: string,
+  lastEventId: string,
+  enough: number,
+): Promise<Piece> {
+  let text = '';
+  let last = lastEventId;
+  let status = 0;
+  const parser = eventsource.createParser({
+    onEvent: ({data, id}) => {
+      last = id ?? last;
+      if (data === '[DONE]') return;
+      const chunk = JSON.parse(data) as {
+        readonly choices?: readonly {readonly delta: {content?: string}}[];
+      };
+      text += chunk.choices?.[0].delta.content ?? '';
+    },
+  });
+  const stream = got.stream.post(`${host.callerUrl}/v1/chat/completions`, {
+    json: {
+      model: CHAT.service,
+      messages: [{role: 'user', content: prompt}],
+      max_tokens: 60,
+      stream: true,
+    },
+    headers: {
+      authorization: `Bearer key-${account}`,
+      ...(lastEventId && {'last-event-id': lastEventId}),
+    },
+    throwHttpErrors: false,
+    retry: {limit: 0},
+  });
+  stream.on('response', (response: {statusCode: number}) => {
+    status = response.statusCode;
+  });
+  for await (const chunk of stream.setEncoding('utf8')) {
+    if (status === 200) parser.feed(String(chunk));
+    if (text.length >= enough) break;
+  }
+  return {text, lastEventId: last, status};
+}
+
+test.test('a caller that hangs up resumes at another host', async () => {
+  const prompt = 'request resume';
+  const [first, second] = fleet.hosts;
+  const begun = await piece(first, 'sharqia', prompt, '', 40);
+  const {lastEventId} = begun;
+  const rest = await piece(second, 'sharqia', prompt, lastEventId, Infinity);
+  const whole = standins.batch.answerText(prompt, 60);
+  assert.equal(begun.text + rest.text, whole);
+  assert.equal(runsOf(prompt), 1);
+});
+
+test.test('a resumed stream is not cancelled by its former host', async () => {
+  const prompt = 'request twice resumed';
+  const [first, second] = fleet.hosts;
+  const one = await piece(first, 'sharqia', prompt, '', 20);
+  const two = await piece(second, 'sharqia', prompt, one.lastEventId, 20);
+  const three = await piece(
+    first,
+    'sharqia',
+    prompt,
+    two.lastEventId,
+    Infinity,
+  );
+  const whole = standins.batch.answerText(prompt, 60);
+  assert.equal(one.text + two.text + three.text, whole);
+});
+
+test.test('a real event id does not open for another account', async () => {
+  const prompt = 'request stolen';
+  const [first, second] = fleet.hosts;
+  const begun = await piece(first, 'sharqia', prompt, '', 20);
+  const {lastEventId} = begun;
+  const stolen = await piece(second, 'depot', prompt, lastEventId, Infinity);
+  assert.equal(stolen.status, 400);
+  assert.equal(stolen.text, '');
+});
+
+function runsOf(prompt: string): number {
+  return fleet.runs.filter(run => run.promptTail === prompt).length;
+}
+
 test.test('an event id of another account opens nothing', async () => {
   const body = JSON.stringify({model: 'tray-scribe', messages: [{}]});
   const answer = await raw(body, {'last-event-id': 'AAAAAAAAAAAAAAAA'});
