Cell: a ticket goes only to a runner that meets its deadline

Cause: any runner that fitted was taken, also one too slow for the deadline; in the burst at 150% 108 of 1854 requests of tier 3 were started and came late. A ticket now waits for a runner that is fast enough and keeps only those from the tickets behind it.

--- a/packages/decisions/src/cell.test.ts
+++ b/packages/decisions/src/cell.test.ts
@@ -140,6 +140,32 @@
   assert.equal(effect.kind === 'refuse' && effect.reason, 'deadline');
 });
 
+test.test('a runner too slow for the deadline is passed over', () => {
+  const slow = {
+    kind: 'completed' as const,
+    measured: {
+      prefillTokens: 100,
+      outputTokens: 100,
+      firstTokenMs: 1000,
+      durationMs: 101_000,
+    },
+  };
+  let cell = cellWith(server('s1'));
+  for (let i = 0; i < 20; i++) {
+    const id = `w${i}`;
+    cell = cell.apply(ask(ticket(id)), 0).cell;
+    cell = cell.apply({kind: 'done', ticketId: id, outcome: slow}, 0).cell;
+  }
+  const versionsByServer = new Map<string, readonly string[]>();
+  const servers = [server('s1'), server('s2', 1)];
+  cell = cell.apply({kind: 'configure', servers, versionsByServer}, 0).cell;
+  const busy = ticket('busy', {tier: 1, deadlineMs: 5000});
+  const first = cell.apply(ask(busy), 0);
+  assert.equal(first.cell.running[0].runner, 's2');
+  const second = ticket('second', {tier: 1, deadlineMs: 9000});
+  assert.deepEqual(grants(first.cell.apply(ask(second), 0)), []);
+});
+
 test.test('a leaving runner gets nothing new', () => {
   const event = {kind: 'signal', runner: 's1', sign: 'leaving'} as const;
   const cell = cellWith(server('s1')).apply(event, 0).cell;
--- a/packages/decisions/src/cell.ts
+++ b/packages/decisions/src/cell.ts
@@ -370,7 +370,7 @@
       if (blocked.size >= this.fields.runners.size) break;
       const runner = cell.bestFit(ticket, blocked, nowMs);
       if (!runner) {
-        for (const name of cell.neededBy(ticket)) blocked.add(name);
+        for (const name of cell.neededBy(ticket, nowMs)) blocked.add(name);
         continue;
       }
       cell = cell.adopt({ticket, runner: runner.name, grantedMs: nowMs});
@@ -389,8 +389,10 @@
     for (const runner of this.fields.runners.values()) {
       if (blocked.has(runner.name) || !runner.serves(ticket)) continue;
       if (!runner.fits(ticket, nowMs)) continue;
+      const expectedMs = runner.expectedMs(ticket);
+      if (nowMs + expectedMs > ticket.deadlineMs) continue;
       const linkMs = runner.server.region === ticket.region ? 0 : LINK_COST_MS;
-      const scoreMs = runner.expectedMs(ticket) * (1 + runner.load) + linkMs;
+      const scoreMs = expectedMs * (1 + runner.load) + linkMs;
       if (scoreMs >= bestMs) continue;
       best = runner;
       bestMs = scoreMs;
@@ -398,9 +400,12 @@
     return best;
   }
 
-  /** The runners that are kept free for a ticket that does not fit: one for a suspect, else all that serve it. */
-  private neededBy(ticket: tickets.Ticket): readonly string[] {
-    const able = this.runners.filter(r => r.serves(ticket));
+  /** The runners that are kept free for a ticket that does not fit: one for a suspect, else all that serve it in time. */
+  private neededBy(ticket: tickets.Ticket, nowMs: number): readonly string[] {
+    const able = this.runners.filter(runner => {
+      const doneMs = nowMs + runner.expectedMs(ticket);
+      return runner.serves(ticket) && doneMs <= ticket.deadlineMs;
+    });
     if (!ticket.isSuspect) return able.map(r => r.name);
     const emptiest = [...able].sort((a, b) => a.running - b.running)[0];
     return emptiest ? [emptiest.name] : [];
