Runners: leave less headroom for higher tiers

Cause: tier 3 could fill 80% of a runner and tier 2 90%; in a burst the rest stood empty while places free up every few tens of milliseconds anyway.

--- a/packages/decisions/src/runner.ts
+++ b/packages/decisions/src/runner.ts
@@ -22,8 +22,8 @@
 /** The share of a runner's budget that each tier may fill; the rest is headroom for higher tiers. */
 export const TIER_CEILING: Readonly<Record<config.Tier, number>> = {
   1: 1,
-  2: 0.9,
-  3: 0.8,
+  2: 1,
+  3: 0.95,
 };
 
 interface RunnerFields {
