--- a/packages/daemon/src/chat.ts
+++ b/packages/daemon/src/chat.ts
@@ -9,13 +9,11 @@
 import * as requestsModule from './requests.js';
 import type * as routers from './router.js';
 import type * as samples from './samples.js';
+import * as sessionsModule from './sessions.js';
 import type * as slotsModule from './slots.js';
 import * as streams from './stream.js';
 import type * as timelines from './timeline.js';
 
-/** How long a stream runs on after its caller's connection broke, in milliseconds, so that it can be resumed. */
-const RESUME_GRACE_MS = 3000;
-
 /** What chat requests need from the rest of the host. */
 export interface ChatOptions {
   readonly host: string;
@@ -33,46 +31,17 @@
   readonly config: () => decisions.config.Config;
 }
 
-/** A stream that is being passed on to a caller. */
-interface Session {
-  readonly requestId: string;
-  readonly account: string;
-  readonly server: decisions.config.BackendServer;
-  readonly position: Omit<callers.position.Position, 'offset'>;
-  readonly signal: AbortSignal;
-  readonly events: AsyncIterator<backends.engine.EngineEvent>;
-  readonly first: IteratorResult<backends.engine.EngineEvent>;
-  readonly startedMs: number;
-  readonly onEnd: (end: End) => void;
-  readonly onBreak: (
-    error: backends.engine.BackendError,
-  ) => decisions.verdict.FailureError;
-  /** Lets go of everything that is held for the stream. */
-  readonly release: () => void;
-}
-
-interface End {
-  readonly text: string;
-  readonly firstTokenMs: number;
-  readonly durationMs: number;
-  readonly usage: backends.engine.Usage;
-}
-
-/** Whether another host, or a later connection to this one, has taken a stream over. */
-interface ActiveState {
-  isDetached: boolean;
-}
-
 /** Serves chat requests, new ones and resumed ones. */
 export class ChatService {
-  private readonly lingering = new Map<string, () => void>();
-  private readonly active = new Map<string, ActiveState>();
+  private readonly sessions: sessionsModule.Sessions;
 
-  constructor(private readonly options: ChatOptions) {}
+  constructor(private readonly options: ChatOptions) {
+    this.sessions = new sessionsModule.Sessions(options);
+  }
 
   /** Streams that wait for their caller to come back. */
   get lingeringCount(): number {
-    return this.lingering.size;
+    return this.sessions.lingeringCount;
   }
 
   /** Serves one request; throws FailureError before the answer begins. */
@@ -105,13 +74,7 @@
   /** Another host has taken a stream over: let go of it without cancelling it. */
   onDetach(streamId: string): void {
     this.options.slots.forget(streamId);
-    this.takenOver(streamId);
-  }
-
-  private takenOver(streamId: string): void {
-    const active = this.active.get(streamId);
-    if (active) active.isDetached = true;
-    this.lingering.get(streamId)?.();
+    this.sessions.takenOver(streamId);
   }
 
   private async start(
@@ -140,7 +103,7 @@
     if (sent.kind === 'replayed') return replay(sent.receipt);
     const {grant, leave, version} = sent;
     const leftMs = wanted.deadlineMs - clock.monotonicMs();
-    return this.answer({
+    return this.sessions.answer({
       requestId,
       account: terms.account.name,
       server: grant.server,
@@ -191,7 +154,7 @@
     const {host} = this.options;
     if (position.host !== host) {
       router.send(position.host, {kind: 'detach', body: {streamId}});
-    } else this.takenOver(streamId);
+    } else this.sessions.takenOver(streamId);
     const leftMs = position.deadlineMs - clock.nowMs();
     const limited = limits.limit(call.signal, Math.max(0, leftMs));
     const leaveAccount = requests.enter(account.name);
@@ -218,7 +181,7 @@
     this.noteResume(streamId, offset);
     try {
       const first = await events.next();
-      return this.answer({
+      return this.sessions.answer({
         requestId: streamId,
         account: account.name,
         server,
@@ -238,91 +201,7 @@
     }
   }
 
-  private answer(session: Session): callers.gateway.ChatAnswer {
-    return {
-      id: `chatcmpl-${session.requestId}`,
-      events: this.passOn(session),
-    };
-  }
-
-  /** Passes a stream on to its caller, each part with the position after it. */
-  private async *passOn(
-    session: Session,
-  ): AsyncGenerator<callers.gateway.ChatEvent> {
-    const {seal, timeline, clock} = this.options;
-    const {requestId, account, position, startedMs} = session;
-    let offset = 0;
-    let text = '';
-    let firstTokenMs = 0;
-    let isOver = false;
-    const state: ActiveState = {isDetached: false};
-    this.active.set(requestId, state);
-    try {
-      for (
-        let next = session.first;
-        !next.done;
-        next = await session.events.next()
-      ) {
-        const event = next.value;
-        if (event.kind === 'part') {
-          if (firstTokenMs === 0) {
-            firstTokenMs = clock.monotonicMs() - startedMs;
-            timeline.record('first-token', requestId, {firstTokenMs});
-          }
-          offset = event.offset + event.text.length;
-          text += event.text;
-          const eventId = seal.seal({...position, offset}, account);
-          yield {kind: 'part', eventId, text: event.text};
-          continue;
-        }
-        isOver = true;
-        const durationMs = clock.monotonicMs() - startedMs;
-        const {usage, finishReason, length} = event;
-        session.onEnd({text, firstTokenMs, durationMs, usage});
-        session.release();
-        timeline.record('answered', requestId, {length, durationMs});
-        const eventId = seal.seal({...position, offset: length}, account);
-        const {promptTokens, outputTokens} = usage;
-        yield {kind: 'end', eventId, finishReason, promptTokens, outputTokens};
-      }
-    } catch (error) {
-      if (!(error instanceof backends.engine.BackendError)) throw error;
-      if (isCallerGone(session.signal)) {
-        throw new decisions.verdict.FailureError(
-          limits.abortFailure(session.signal, 'may-have-run'),
-        );
-      }
-      isOver = true;
-      void this.options.backends.cancel(session.server.url, requestId);
-      session.release();
-      throw session.onBreak(error);
-    } finally {
-      if (this.active.get(requestId) === state) this.active.delete(requestId);
-      if (state.isDetached) session.release();
-      else if (!isOver) this.linger(session, offset > 0);
-    }
-  }
-
-  /** The caller's connection broke: the stream runs on for a while, then it is cancelled. */
-  private linger(session: Session, canResume: boolean): void {
-    const {requestId, server} = session;
-    void session.events.return?.();
-    const letGo = () => {
-      clearTimeout(timer);
-      this.lingering.delete(requestId);
-      session.release();
-    };
-    const end = () => {
-      letGo();
-      this.options.timeline.record('broken', requestId, {why: 'caller left'});
-      this.options.slots.done(requestId, {kind: 'cancelled'});
-      void this.options.backends.cancel(server.url, requestId);
-    };
-    const timer = setTimeout(end, canResume ? RESUME_GRACE_MS : 0);
-    this.lingering.set(requestId, letGo);
-  }
-
-  private ended(grant: slotsModule.Grant, end: End): void {
+  private ended(grant: slotsModule.Grant, end: sessionsModule.End): void {
     const {usage, firstTokenMs, durationMs} = end;
     this.options.slots.done(grant.ticketId, {
       kind: 'completed',
@@ -364,18 +243,13 @@
 
 const BROKEN: samples.Shown = {isFailure: true, firstTokenMs: 0, tokenMs: 0};
 
-function shownBy(end: End): samples.Shown {
+function shownBy(end: sessionsModule.End): samples.Shown {
   const {firstTokenMs, durationMs, usage} = end;
   const decodeMs = durationMs - firstTokenMs;
   const tokenMs = usage.outputTokens > 1 ? decodeMs / usage.outputTokens : 0;
   return {isFailure: false, firstTokenMs, tokenMs};
 }
 
-function isCallerGone(signal: AbortSignal): boolean {
-  const isDeadline = signal.reason instanceof decisions.verdict.FailureError;
-  return signal.aborted && !isDeadline;
-}
-
 function lostStream(): decisions.verdict.FailureError {
   return new decisions.verdict.FailureError(
     decisions.verdict.failure(
--- a/packages/trials/src/processes.ts
+++ b/packages/trials/src/processes.ts
@@ -92,21 +92,28 @@
   });
 }
 
-/** Ports on loopback that are free now. */
+/** Ports below those that the system gives to outgoing connections, so that none is taken before its process starts. */
+const FIRST_PORT = 10_000;
+const PORT_COUNT = 20_000;
+const PORT_STRIDE = 97;
+
+let portIndex = (process.pid * PORT_STRIDE) % PORT_COUNT;
+
+/** Ports on loopback that are free now and not handed out before. */
 export async function freePorts(count: number): Promise<readonly number[]> {
-  const servers = Array.from({length: count}, () => net.createServer());
-  const ports = await Promise.all(servers.map(listen));
-  await Promise.all(
-    servers.map(server => new Promise(resolve => server.close(resolve))),
-  );
+  const ports: number[] = [];
+  while (ports.length < count) {
+    portIndex = (portIndex + 1) % PORT_COUNT;
+    const port = FIRST_PORT + portIndex;
+    if (await isFree(port)) ports.push(port);
+  }
   return ports;
 }
 
-function listen(server: net.Server): Promise<number> {
+function isFree(port: number): Promise<boolean> {
+  const server = net.createServer();
   return new Promise(resolve => {
-    server.listen(0, '127.0.0.1', () => {
-      const address = server.address() as net.AddressInfo;
-      resolve(address.port);
-    });
+    server.once('error', () => resolve(false));
+    server.listen(port, '127.0.0.1', () => server.close(() => resolve(true)));
   });
 }
