A request that crashes engines while it streams is held against itself

Cause: when a stream broke, the request was taken off the list of those in flight before the crash was recorded, so the one request that mattered was missing from it.

--- a/packages/callers/src/position.ts
+++ b/packages/callers/src/position.ts
@@ -12,7 +12,6 @@
   readonly streamId: string;
   readonly offset: number;
   readonly deadlineMs: number;
-  readonly startedMs: number;
   readonly promptTokens: number;
   readonly outputTokens: number;
   readonly tier: 1 | 2 | 3;
--- a/packages/daemon/src/chat.ts
+++ b/packages/daemon/src/chat.ts
@@ -31,6 +31,14 @@
   readonly config: () => decisions.config.Config;
 }
 
+/** A stream that an event id stands for. */
+interface FoundStream {
+  readonly account: decisions.config.Account;
+  readonly position: callers.position.Position;
+  readonly service: decisions.config.Service;
+  readonly server: decisions.config.BackendServer;
+}
+
 /** Serves chat requests, new ones and resumed ones. */
 export class ChatService {
   private readonly sessions: sessionsModule.Sessions;
@@ -100,7 +108,10 @@
       });
       return {events, first: await events.next()};
     });
-    if (sent.kind === 'replayed') return replay(sent.receipt);
+    if (sent.kind === 'replayed') {
+      finish();
+      return replay(sent.receipt);
+    }
     const {grant, leave, version} = sent;
     const leftMs = wanted.deadlineMs - clock.monotonicMs();
     return this.sessions.answer({
@@ -113,7 +124,6 @@
         backendServer: grant.server.name,
         streamId: requestId,
         deadlineMs: Math.round(clock.nowMs() + leftMs),
-        startedMs: Math.round(clock.nowMs()),
         promptTokens: wanted.promptTokens,
         outputTokens: wanted.outputTokens,
         tier: wanted.tier,
@@ -141,36 +151,22 @@
   private async resume(
     call: callers.gateway.ChatCall,
   ): Promise<callers.gateway.ChatAnswer> {
-    const {seal, slots, router, requests, clock} = this.options;
-    const account = requests.account(call.keySha256);
-    const position = seal.open(call.lastEventId, account.name);
-    if (!position) requestsModule.refuse('invalid-request', 'no such event');
-    const service = this.options.config().get('service', position.service);
-    const server = service?.backendServers.find(
-      candidate => candidate.name === position.backendServer,
-    );
-    if (!service || !server) throw lostStream();
-    const {streamId, offset} = position;
-    const {host} = this.options;
-    if (position.host !== host) {
-      router.send(position.host, {kind: 'detach', body: {streamId}});
-    } else this.sessions.takenOver(streamId);
-    const leftMs = position.deadlineMs - clock.nowMs();
-    const limited = limits.limit(call.signal, Math.max(0, leftMs));
+    const {requests, clock} = this.options;
+    const found = this.found(call);
+    const {account, position, server} = found;
+    this.letGoElsewhere(position);
+    const leftMs = Math.max(0, position.deadlineMs - clock.nowMs());
+    const limited = limits.limit(call.signal, leftMs);
     const leaveAccount = requests.enter(account.name);
     const release = () => {
       leaveAccount();
       limited.clear();
     };
-    const deadlineMs = clock.monotonicMs() + leftMs;
-    const {tier, promptTokens, outputTokens} = position;
-    const wanted: slotsModule.Wanted = {
-      ...{requestId: streamId, service, account, tier, deadlineMs},
-      ...{promptTokens, outputTokens, chain: [], version: ''},
-      isSuspect: false,
-    };
-    slots.adopt(wanted, server);
+    this.adopt(found, clock.monotonicMs() + leftMs);
+    const {streamId, offset} = position;
     const grant = {ticketId: streamId, server};
+    const onBreak = (error: backends.engine.BackendError) =>
+      this.resumeBroke(grant, limited.signal, error);
     const events = streams.read(this.options.backends, {
       url: server.url,
       streamId,
@@ -180,27 +176,59 @@
     });
     this.noteResume(streamId, offset);
     try {
-      const first = await events.next();
       return this.sessions.answer({
         requestId: streamId,
         account: account.name,
         server,
-        position: {...position, host},
+        position: {...position, host: this.options.host},
         signal: limited.signal,
         events,
-        first,
+        first: await events.next(),
         startedMs: clock.monotonicMs(),
-        onEnd: () => slots.done(streamId, {kind: 'cancelled'}),
-        onBreak: error => this.resumeBroke(grant, limited.signal, error),
+        onEnd: () => this.options.slots.done(streamId, {kind: 'cancelled'}),
+        onBreak,
         release,
       });
     } catch (error) {
       release();
       if (!(error instanceof backends.engine.BackendError)) throw error;
-      throw this.resumeBroke(grant, limited.signal, error);
+      throw onBreak(error);
     }
   }
 
+  /** What an event id stands for; throws FailureError when it opens nothing. */
+  private found(call: callers.gateway.ChatCall): FoundStream {
+    const {seal, requests} = this.options;
+    const account = requests.account(call.keySha256);
+    const position = seal.open(call.lastEventId, account.name);
+    if (!position) requestsModule.refuse('invalid-request', 'no such event');
+    const service = this.options.config().get('service', position.service);
+    const server = service?.backendServers.find(
+      candidate => candidate.name === position.backendServer,
+    );
+    if (!service || !server) throw lostStream();
+    return {account, position, service, server};
+  }
+
+  /** Tells whoever passed the stream on before that it goes on here. */
+  private letGoElsewhere(position: callers.position.Position): void {
+    const {host, streamId} = position;
+    if (host === this.options.host) return this.sessions.takenOver(streamId);
+    this.options.router.send(host, {kind: 'detach', body: {streamId}});
+  }
+
+  /** Holds the slot of a stream that another host was given. */
+  private adopt(found: FoundStream, deadlineMs: number): void {
+    const {account, service, position, server} = found;
+    const {streamId: requestId, tier, promptTokens, outputTokens} = position;
+    const wanted: slotsModule.Wanted = {
+      ...{requestId, service, account, tier, deadlineMs},
+      ...{promptTokens, outputTokens, chain: [], version: ''},
+      isSuspect: false,
+    };
+    this.options.slots.adopt(wanted, server);
+  }
+
   private ended(grant: slotsModule.Grant, end: sessionsModule.End): void {
     const {usage, firstTokenMs, durationMs} = end;
     this.options.slots.done(grant.ticketId, {
--- a/packages/daemon/src/sessions.ts
+++ b/packages/daemon/src/sessions.ts
@@ -20,6 +20,7 @@
   readonly first: IteratorResult<backends.engine.EngineEvent>;
   readonly startedMs: number;
   readonly onEnd: (end: End) => void;
+  /** Called while the request still counts as in flight, so that a crash is held against it. */
   readonly onBreak: (
     error: backends.engine.BackendError,
   ) => decisions.verdict.FailureError;
@@ -125,8 +126,9 @@
       }
       isOver = true;
       void this.options.backends.cancel(session.server.url, requestId);
+      const failure = session.onBreak(error);
       session.release();
-      throw session.onBreak(error);
+      throw failure;
     } finally {
       if (this.active.get(requestId) === state) this.active.delete(requestId);
       if (state.isDetached) session.release();
--- a/packages/trials/src/caller.ts
+++ b/packages/trials/src/caller.ts
@@ -9,7 +9,8 @@
 const ADDRESS_TIMEOUT_MS = 1000;
 const CONNECT_TIMEOUT_MS = 500;
 const SILENT_MS = 4000;
-const MAX_RESUMES = 8;
+const MAX_TRIES = 8;
+const PLAIN_TIMEOUT_MS = 20_000;
 const RESUME_PAUSE_MS = 100;
 
 /** What a caller was told about one request. */
@@ -36,6 +37,8 @@
   readonly maxTokens: number;
   readonly requestKey?: string;
   readonly timeoutMs: number;
+  /** Called with every part that arrives. */
+  readonly onPart?: () => void;
 }
 
 interface Progress {
@@ -48,6 +51,8 @@
   lastMs: number;
   gapsMs: number[];
   status: number;
+  /** True when the last attempt found nobody: nothing was sent. */
+  isUnsent: boolean;
 }
 
 interface ErrorBody {
@@ -81,15 +86,18 @@
     const progress: Progress = {
       ...{text: '', lastEventId: '', isWhole: false, failure: ''},
       ...{verdict: 'none', firstMs: 0, lastMs: 0, gapsMs: [], status: 0},
+      isUnsent: false,
     };
     let resumes = 0;
+    let tries = 0;
     for (;;) {
       const url = await this.host();
       await this.attempt(url, order, progress);
       const isOver = progress.isWhole || progress.failure !== '';
-      const canResume = progress.lastEventId !== '' && resumes < MAX_RESUMES;
-      if (isOver || !canResume) break;
-      resumes++;
+      const canResume = progress.lastEventId !== '' || progress.isUnsent;
+      if (isOver || !canResume || tries >= MAX_TRIES) break;
+      tries++;
+      if (!progress.isUnsent) resumes++;
       this.keepUntilMs = 0;
       await pause(RESUME_PAUSE_MS);
     }
@@ -112,46 +120,34 @@
   ): Promise<Told> {
     const startedMs = performance.now();
     const none = {text: '', isWhole: false, firstTokenMs: 0, gapsMs: []};
-    try {
-      const url = await this.host();
-      const response = await got.post(`${url}/services/${path}`, {
-        json: body,
-        headers: {
-          authorization: `Bearer key-${account}`,
-          'banyanhall-profile': profile,
-          'idempotency-key': requestKey,
-        },
-        ...this.options,
-        timeout: {connect: CONNECT_TIMEOUT_MS, request: 20_000},
-      });
-      const durationMs = performance.now() - startedMs;
-      const status = response.statusCode;
-      const verdict = verdictOf(response.headers);
-      const failure = status < 400 ? '' : failureOf(response.body, status);
-      const isWhole = failure === '';
-      const text = response.body;
-      return {
-        ...none,
-        verdict,
-        failure,
-        text,
-        isWhole,
-        durationMs,
-        status,
-        resumes: 0,
-      };
-    } catch (error) {
-      this.keepUntilMs = 0;
-      const failure = (error as Error).message;
-      const durationMs = performance.now() - startedMs;
-      return {
-        ...none,
-        verdict: 'none',
-        failure,
-        durationMs,
-        status: 0,
-        resumes: 0,
-      };
+    const ended = () => performance.now() - startedMs;
+    for (let tries = 1; ; tries++) {
+      try {
+        const url = await this.host();
+        const response = await got.post(`${url}/services/${path}`, {
+          json: body,
+          headers: {
+            authorization: `Bearer key-${account}`,
+            'banyanhall-profile': profile,
+            'idempotency-key': requestKey,
+          },
+          ...this.options,
+          timeout: {connect: CONNECT_TIMEOUT_MS, request: PLAIN_TIMEOUT_MS},
+        });
+        const status = response.statusCode;
+        const verdict = verdictOf(response.headers);
+        const failure = status < 400 ? '' : failureOf(response.body, status);
+        return {
+          ...{verdict, failure, status, resumes: 0, durationMs: ended()},
+          ...{...none, text: response.body, isWhole: failure === ''},
+        };
+      } catch (error) {
+        this.keepUntilMs = 0;
+        const {code, message} = error as NodeJS.ErrnoException;
+        if (code === 'ECONNREFUSED' && tries < MAX_TRIES) continue;
+        const told = {verdict: 'none' as const, failure: message, status: 0};
+        return {...none, ...told, durationMs: ended(), resumes: 0};
+      }
     }
   }
 
@@ -217,16 +213,21 @@
       ...this.options,
       timeout: {connect: CONNECT_TIMEOUT_MS, request: order.timeoutMs},
     });
-    await follow(stream.setEncoding('utf8'), progress);
+    await follow(stream.setEncoding('utf8'), progress, order.onPart);
   }
 }
 
 async function follow(
   stream: gotTypes.Request,
   progress: Progress,
+  onPart?: () => void,
 ): Promise<void> {
+  progress.isUnsent = false;
   const parser = eventsource.createParser({
-    onEvent: event => onEvent(event, progress),
+    onEvent: event => {
+      onEvent(event, progress);
+      onPart?.();
+    },
   });
   let errorText = '';
   const watch = setInterval(() => {
@@ -245,8 +246,10 @@
     if (progress.status !== 200) {
       progress.failure = failureOf(errorText, progress.status);
     }
-  } catch {
-    // The stream broke: `chat` resumes it.
+  } catch (error) {
+    // The stream broke: `chat` resumes it, or tries again when nothing was sent.
+    const {code} = error as NodeJS.ErrnoException;
+    progress.isUnsent = code === 'ECONNREFUSED' && progress.status === 0;
   } finally {
     clearInterval(watch);
     stream.on('error', () => undefined);
--- a/packages/trials/src/path.test.ts
+++ b/packages/trials/src/path.test.ts
@@ -277,20 +277,41 @@
   fs.rmSync(folder, {recursive: true});
 });
 
+test.test(
+  'a request that crashed two engines is refused at every host',
+  async () => {
+    const order = {
+      ...CHAT,
+      prompt: 'KILL-ENGINE request killer',
+      maxTokens: 60,
+    };
+    const failures: string[] = [];
+    for (let i = 0; i < 6; i++) {
+      const told = await caller.chat(order);
+      failures.push(`${told.failure} ${told.verdict}`);
+      await fleet.reviveBackends();
+    }
+    const refused = 'suspect-request not-run';
+    assert.deepEqual(failures.slice(2), Array(4).fill(refused));
+    assert.equal(runsOf(order.prompt), 2);
+  },
+);
+
 test.test(
   'a stream goes on at another host when its host is killed',
   async () => {
     const prompt = 'request killed';
-    const order = {...CHAT, prompt, maxTokens: 150};
-    const answer = caller.chat(order);
-    const dispatched = await until(() =>
-      fleet.events.find(event => {
-        return event.kind === 'first-token' && isOf(event, prompt);
-      }),
-    );
-    const host = fleet.hosts.find(({name}) => name === dispatched.host);
-    host?.process.child.kill('SIGKILL');
-    const told = await answer;
+    let isKilled = false;
+    const onPart = () => {
+      if (isKilled) return;
+      isKilled = true;
+      const run = fleet.runs.find(each => each.promptTail === prompt);
+      const host = fleet.hosts.find(({name}) =>
+        run?.streamId.startsWith(`${name}-`),
+      );
+      host?.process.child.kill('SIGKILL');
+    };
+    const told = await caller.chat({...CHAT, prompt, maxTokens: 150, onPart});
     assert.equal(told.text, standins.batch.answerText(prompt, 150));
     assert.ok(told.resumes > 0);
   },
@@ -316,16 +337,3 @@
   }
   assert.equal(await host.process.ended, 0);
 });
-
-function isOf(event: fleets.FleetEvent, prompt: string): boolean {
-  const run = fleet.runs.find(each => each.streamId === event.requestId);
-  return run?.promptTail === prompt;
-}
-
-async function until<T>(find: () => T | undefined): Promise<T> {
-  for (;;) {
-    const found = find();
-    if (found) return found;
-    await new Promise(resolve => setTimeout(resolve, 5));
-  }
-}
