--- a/packages/daemon/src/claims.test.ts
+++ b/packages/daemon/src/claims.test.ts
@@ -54,6 +54,23 @@
   assert.equal(await told(host), 'outcome-unknown');
 });
 
+test.test('a claim that was written twice is still one’s own', async () => {
+  const store = new platform.fake.FakePlatform();
+  store.faults.push('lost-reply');
+  let reads = 0;
+  const table: platform.table.Table = {
+    ...store.table,
+    read: async keys => {
+      reads++;
+      if (reads === 1) throw new platform.table.StoreError('away');
+      return store.table.read(keys);
+    },
+  };
+  const clock = new decisions.clock.FakeClock();
+  const host = new claims.Claims(table, clock, new timelines.Timeline('h1'));
+  assert.equal(await told(host), 'claimed');
+});
+
 test.test('a lost request is sent again', async () => {
   const store = new platform.fake.FakePlatform();
   store.faults.push('lost-request');
--- a/packages/daemon/src/claims.ts
+++ b/packages/daemon/src/claims.ts
@@ -31,6 +31,11 @@
   | {readonly kind: 'conflict'}
   | {readonly kind: 'unavailable'};
 
+interface FoundRow {
+  readonly value: decisions.claim.ClaimRow;
+  readonly version: number;
+}
+
 interface Queued {
   readonly key: string;
   readonly version: number;
@@ -71,7 +76,7 @@
   ): Promise<decisions.claim.Receipt | undefined> {
     const row = await this.readRow(keyOf(request));
     if (!row) return undefined;
-    const decision = decisions.claim.decide(row, '', request.digest);
+    const decision = decisions.claim.decide(row.value, '', request.digest);
     return receiptOf(decision);
   }
 
@@ -94,8 +99,9 @@
     if (result.kind === 'unavailable') throw storeFailure();
     const row = await this.readRow(key);
     if (!row) throw storeFailure();
-    const decision = decisions.claim.decide(row, '', digest);
-    return receiptOf(decision) as decisions.claim.Receipt;
+    const decision = decisions.claim.decide(row.value, token, digest);
+    const receipt = receiptOf(decision);
+    return receipt ?? {key, digest, token, version: row.version};
   }
 
   /** Stores the answer under a claim, for later attempts with the same key. */
@@ -117,13 +123,14 @@
     return result.kind === 'written';
   }
 
-  private async readRow(
-    key: string,
-  ): Promise<decisions.claim.ClaimRow | undefined> {
+  private async readRow(key: string): Promise<FoundRow | undefined> {
     const rows = await this.table.read([key]).catch(() => {
       throw storeFailure();
     });
-    return rows.get(key)?.value as decisions.claim.ClaimRow | undefined;
+    const row = rows.get(key);
+    if (!row) return undefined;
+    const value = row.value as decisions.claim.ClaimRow;
+    return {value, version: row.version};
   }
 
   private write(
