--- a/packages/trials/src/faults.ts
+++ b/packages/trials/src/faults.ts
@@ -82,7 +82,7 @@
     heals.push(await faultKinds.FAULTS[name](scene));
   }
   await pause(FAULT_MS + random() * FAULT_MS);
-  for (const heal of heals.reverse()) await heal();
+  await Promise.all(heals.map(heal => heal()));
   await Promise.all(fleet.hosts.map(host => fleet.ready(host)));
   if (count > 1) state.stops.length = stopsBefore;
   await fleet.reviveBackends();
