--- a/packages/decisions/src/cell.ts
+++ b/packages/decisions/src/cell.ts
@@ -1,6 +1,7 @@
 import type * as events from './cellevents.js';
 import type * as config from './config.js';
 import * as estimates from './estimate.js';
+import * as fit from './fit.js';
 import * as rank from './rank.js';
 import * as runners from './runner.js';
 import * as tickets from './ticket.js';
@@ -20,9 +21,6 @@
 /** How long past its deadline a slot may stay unreleased, in milliseconds. */
 export const RELEASE_GRACE_MS = 2000;
 
-/** What an answer over a paid-for link between regions counts as, in milliseconds of waiting. */
-const LINK_COST_MS = 100;
-
 const NO_RUNNER_RETRY_MS = 1000;
 
 /** A cell after an event, with what it wants done. */
@@ -368,9 +366,10 @@
     let cell = this.with({});
     for (const ticket of rank.ordered(this.waiting, usage)) {
       if (blocked.size >= this.fields.runners.size) break;
-      const runner = cell.bestFit(ticket, blocked, nowMs);
+      const runner = fit.best(cell.runners, ticket, blocked, nowMs);
       if (!runner) {
-        for (const name of cell.neededBy(ticket, nowMs)) blocked.add(name);
+        for (const name of fit.needed(cell.runners, ticket, nowMs))
+          blocked.add(name);
         continue;
       }
       cell = cell.adopt({ticket, runner: runner.name, grantedMs: nowMs});
@@ -378,38 +377,6 @@
     }
     return {cell, effects};
   }
-
-  private bestFit(
-    ticket: tickets.Ticket,
-    blocked: ReadonlySet<string>,
-    nowMs: number,
-  ): runners.Runner | undefined {
-    let best: runners.Runner | undefined;
-    let bestMs = Infinity;
-    for (const runner of this.fields.runners.values()) {
-      if (blocked.has(runner.name) || !runner.serves(ticket)) continue;
-      if (!runner.fits(ticket, nowMs)) continue;
-      const expectedMs = runner.expectedMs(ticket);
-      if (nowMs + expectedMs > ticket.deadlineMs) continue;
-      const linkMs = runner.server.region === ticket.region ? 0 : LINK_COST_MS;
-      const scoreMs = expectedMs * (1 + runner.load) + linkMs;
-      if (scoreMs >= bestMs) continue;
-      best = runner;
-      bestMs = scoreMs;
-    }
-    return best;
-  }
-
-  /** The runners that are kept free for a ticket that does not fit: one for a suspect, else all that serve it in time. */
-  private neededBy(ticket: tickets.Ticket, nowMs: number): readonly string[] {
-    const able = this.runners.filter(runner => {
-      const doneMs = nowMs + runner.expectedMs(ticket);
-      return runner.serves(ticket) && doneMs <= ticket.deadlineMs;
-    });
-    if (!ticket.isSuspect) return able.map(r => r.name);
-    const emptiest = [...able].sort((a, b) => a.running - b.running)[0];
-    return emptiest ? [emptiest.name] : [];
-  }
 }
 
 const HANDLERS: Handlers = {
--- /dev/null
+++ b/packages/decisions/src/fit.ts
@@ -0,0 +1,49 @@
+import type * as runners from './runner.js';
+import type * as tickets from './ticket.js';
+
+/** What an answer over a paid-for link between regions counts as, in milliseconds of waiting. */
+const LINK_COST_MS = 100;
+
+function isInTime(
+  runner: runners.Runner,
+  ticket: tickets.Ticket,
+  nowMs: number,
+): boolean {
+  return nowMs + runner.expectedMs(ticket) <= ticket.deadlineMs;
+}
+
+/** The runner that a ticket is best granted on now, out of those that are not kept for others. */
+export function best(
+  all: readonly runners.Runner[],
+  ticket: tickets.Ticket,
+  blocked: ReadonlySet<string>,
+  nowMs: number,
+): runners.Runner | undefined {
+  let found: runners.Runner | undefined;
+  let foundMs = Infinity;
+  for (const runner of all) {
+    if (blocked.has(runner.name) || !runner.serves(ticket)) continue;
+    if (!runner.fits(ticket, nowMs)) continue;
+    if (!isInTime(runner, ticket, nowMs)) continue;
+    const linkMs = runner.server.region === ticket.region ? 0 : LINK_COST_MS;
+    const scoreMs = runner.expectedMs(ticket) * (1 + runner.load) + linkMs;
+    if (scoreMs >= foundMs) continue;
+    found = runner;
+    foundMs = scoreMs;
+  }
+  return found;
+}
+
+/** The runners that are kept free for a ticket that does not fit: one for a suspect, else all that serve it in time. */
+export function needed(
+  all: readonly runners.Runner[],
+  ticket: tickets.Ticket,
+  nowMs: number,
+): readonly string[] {
+  const able = all.filter(
+    runner => runner.serves(ticket) && isInTime(runner, ticket, nowMs),
+  );
+  if (!ticket.isSuspect) return able.map(runner => runner.name);
+  const [emptiest] = [...able].sort((a, b) => a.running - b.running);
+  return emptiest ? [emptiest.name] : [];
+}
