--- a/packages/trials/src/movetrial.ts
+++ b/packages/trials/src/movetrial.ts
@@ -158,7 +158,7 @@
     `${one.name}: ${move?.phase ?? 'unknown'} (${move?.reason ?? ''})`,
     `${onNew.length} of ${fleet.runs.length} requests on the new version`,
     `last of them ${((deadlineAtMs - lastMs) / 1000).toFixed(1)} s before the deadline`,
-    `${failed} of ${results.length} requests failed`,
+    `${failed} of ${results.length} requests failed (${loads.failures(results).replaceAll('\n', '; ')})`,
     `row written ${(((move?.stepAtMs ?? 0) - deadlineAtMs) / 1000).toFixed(1)} s from the deadline`,
   ].join(', ');
   return {isRight: isRight && isQuiet, text};
