--- a/packages/trials/src/slopes.ts
+++ b/packages/trials/src/slopes.ts
@@ -237,9 +237,11 @@
   return new Promise(resolve => setTimeout(resolve, ms));
 }
 
-const SECTIONS: Readonly<Record<string, () => Promise<void>>> = {
-  hosts: async () => {
-    for (const hosts of [8, 16, 32, 64]) await idle(hosts);
+const SECTIONS: Readonly<
+  Record<string, (sizes: readonly number[]) => Promise<void>>
+> = {
+  hosts: async sizes => {
+    for (const hosts of sizes) await idle(hosts);
   },
   requests: async () => {
     for (const perS of [20, 40, 80]) await requests(perS, false);
@@ -256,10 +258,12 @@
   const {values} = util.parseArgs({
     options: {
       section: {type: 'string', default: Object.keys(SECTIONS).join(',')},
+      hosts: {type: 'string', default: '8,16,32,64'},
     },
   });
   printHeader();
-  for (const name of values.section.split(',')) await SECTIONS[name]();
+  const sizes = values.hosts.split(',').map(Number);
+  for (const name of values.section.split(',')) await SECTIONS[name](sizes);
 }
 
 await main();
