Errors before the first token count against a version

Ruled out: the test itself, which calls it bad after 10 on the fake clock. The dispatcher now records every break that may have run.

--- a/packages/daemon/src/chat.ts
+++ b/packages/daemon/src/chat.ts
@@ -137,10 +137,7 @@
         this.options.samples.add(request, version, shownBy(end));
         if (sent.claim) void this.storeAnswer(sent.claim, end.text);
       },
-      onBreak: error => {
-        this.options.samples.add(request, version, BROKEN);
-        return dispatcher.failed(request, grant, leave, error);
-      },
+      onBreak: error => dispatcher.failed(request, sent, error),
       release: () => {
         leave();
         finish();
@@ -269,8 +266,6 @@
   }
 }
 
-const BROKEN: samples.Shown = {isFailure: true, firstTokenMs: 0, tokenMs: 0};
-
 function shownBy(end: sessionsModule.End): samples.Shown {
   const {firstTokenMs, durationMs, usage} = end;
   const decodeMs = durationMs - firstTokenMs;
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -133,7 +133,7 @@
       isOpen: () => this.isReady,
     });
     const dispatcher = new dispatchers.Dispatcher({
-      ...{slots, claims, crashes, timeline, clock},
+      ...{slots, claims, crashes, samples, timeline, clock},
       isFresh: () => configs.isFresh,
       chooseVersion: terms => samples.choose(terms),
     });
--- a/packages/daemon/src/dispatcher.ts
+++ b/packages/daemon/src/dispatcher.ts
@@ -4,11 +4,14 @@
 import type * as claimsModule from './claims.js';
 import type * as crashesModule from './crashes.js';
 import * as limits from './limits.js';
+import type * as samples from './samples.js';
 import type * as slotsModule from './slots.js';
 import type * as timelines from './timeline.js';
 
 const MAX_ATTEMPTS = 6;
 
+const BROKEN: samples.Shown = {isFailure: true, firstTokenMs: 0, tokenMs: 0};
+
 /** A request that was checked and may ask for a slot; times on the monotonic clock. */
 export interface Prepared {
   readonly requestId: string;
@@ -46,6 +49,7 @@
   readonly slots: slotsModule.Slots;
   readonly claims: claimsModule.Claims;
   readonly crashes: crashesModule.Crashes;
+  readonly samples: samples.Samples;
   readonly timeline: timelines.Timeline;
   readonly clock: decisions.clock.Clock;
   readonly isFresh: () => boolean;
@@ -112,13 +116,23 @@
     );
   }
 
-  /** Ends a request whose call broke after it may have run; the result is for the caller. */
+  /**
+   * Ends a request whose call broke after it may have run; the result is for
+   * the caller. The version that it ran on answers for it, unless the caller
+   * has left.
+   */
   failed(
     request: Prepared,
-    grant: slotsModule.Grant,
-    leave: () => void,
+    {
+      grant,
+      version,
+      leave,
+    }: Pick<Dispatched<never>, 'grant' | 'version' | 'leave'>,
     error: backends.engine.BackendError,
   ): decisions.verdict.FailureError {
+    if (!limits.isCallerGone(request.signal)) {
+      this.options.samples.add(request, version, BROKEN);
+    }
     const {crashes, slots, timeline} = this.options;
     const server = grant.server.name;
     timeline.record('broken', request.requestId, {server, why: error.message});
@@ -206,7 +220,8 @@
       return {kind: 'dispatched', value, grant, version, dispatchedMs, leave};
     } catch (error) {
       if (!(error instanceof backends.engine.BackendError)) throw error;
-      if (!error.isNotRun) throw this.failed(request, grant, leave, error);
+      if (!error.isNotRun)
+        throw this.failed(request, {grant, version, leave}, error);
       leave();
       timeline.record('not-admitted', requestId, {server, why: error.message});
       const {isLeaving} = error;
--- a/packages/daemon/src/limits.ts
+++ b/packages/daemon/src/limits.ts
@@ -35,3 +35,9 @@
   }
   return decisions.verdict.failure('cancelled', 'the caller has left', verdict);
 }
+
+/** True when a signal was aborted because the caller has left, not by the deadline. */
+export function isCallerGone(signal: AbortSignal): boolean {
+  const isDeadline = signal.reason instanceof decisions.verdict.FailureError;
+  return signal.aborted && !isDeadline;
+}
--- a/packages/daemon/src/sessions.ts
+++ b/packages/daemon/src/sessions.ts
@@ -119,7 +119,7 @@
       }
     } catch (error) {
       if (!(error instanceof backends.engine.BackendError)) throw error;
-      if (isCallerGone(session.signal)) {
+      if (limits.isCallerGone(session.signal)) {
         throw new decisions.verdict.FailureError(
           limits.abortFailure(session.signal, 'may-have-run'),
         );
@@ -155,8 +155,3 @@
     this.lingering.set(requestId, letGo);
   }
 }
-
-function isCallerGone(signal: AbortSignal): boolean {
-  const isDeadline = signal.reason instanceof decisions.verdict.FailureError;
-  return signal.aborted && !isDeadline;
-}
