--- a/packages/trials/src/movepolicies.ts
+++ b/packages/trials/src/movepolicies.ts
@@ -149,7 +149,7 @@
   let lastSentMs = 0;
   let endedMs = 0;
   const perTick = (versions.REQUESTS_PER_S * TICK_MS) / 1000;
-  for (let nowMs = 0; nowMs < versions.MOVE_MS; nowMs += TICK_MS) {
+  for (let nowMs = 0; nowMs <= versions.MOVE_MS; nowMs += TICK_MS) {
     const due = arriving.filter(each => each.atMs <= nowMs);
     if (due.length > 0) arriving = arriving.filter(each => each.atMs > nowMs);
     for (const each of due) policy.add(each.sample, nowMs);
