--- a/packages/trials/src/matrix.ts
+++ b/packages/trials/src/matrix.ts
@@ -111,11 +111,13 @@
   },
   'request is dispatched': {
     'host killed': trial('host killed'),
-    'host frozen': trial('host frozen'),
+    'host frozen': by('a host that lost touch dispatches nothing'),
+    'links cut': by('a host that lost touch dispatches nothing'),
     'lease lapsed': by('a late, cancelled or cut off host does not dispatch'),
     'backend server crash': by(
       'a reset after the request left may have run',
       'a refused connection proves not-run',
+      'a request that may have run is not tried again',
     ),
     'late or repeated messages': by(
       'in any order of steps unrefuted dispatches stay at one',
@@ -157,6 +159,7 @@
     'host killed': trial('host killed'),
     'backend server crash': by(
       'a request at two crashes is refused, at one it is a suspect',
+      'a request that crashed two engines is refused at every host',
     ),
     'late or repeated messages': by(
       'the order and repetition of reports do not matter',
@@ -178,6 +181,10 @@
     ),
   },
   'planned stop': {
+    'second operator or host': by(
+      'the last host keeps its slots in order as it leaves',
+    ),
+    'backend server crash': trial('engine crashed'),
     'host killed': trial('host killed'),
     'store down': trial('store down'),
     'late or repeated messages': by(
@@ -206,6 +213,9 @@
     'late or repeated messages': by('old news from a peer changes nothing'),
   },
   'move is driven': {
+    'backend server crash': by(
+      'a version that answers with an error is held against it',
+    ),
     'host killed': by('a second driver waits for the first one’s lease to end'),
     'store down': by(
       'a move nobody wrote about counts as taken back at its deadline',
