--- a/packages/decisions/src/cell.ts
+++ b/packages/decisions/src/cell.ts
@@ -363,13 +363,14 @@
     const usage = rank.Usage.of(running.values(), waiting, recentUse, nowMs);
     const blocked = new Set<string>();
     const effects: events.CellEffect[] = [];
+    // Later tickets see the runners as earlier grants left them.
     let cell = this.with({});
     for (const ticket of rank.ordered(this.waiting, usage)) {
       if (blocked.size >= this.fields.runners.size) break;
       const runner = fit.best(cell.runners, ticket, blocked, nowMs);
       if (!runner) {
-        for (const name of fit.needed(cell.runners, ticket, nowMs))
-          blocked.add(name);
+        const kept = fit.needed(cell.runners, ticket, nowMs);
+        for (const name of kept) blocked.add(name);
         continue;
       }
       cell = cell.adopt({ticket, runner: runner.name, grantedMs: nowMs});
