--- a/packages/trials/src/matrix.ts
+++ b/packages/trials/src/matrix.ts
@@ -183,6 +183,7 @@
   'planned stop': {
     'second operator or host': by(
       'the last host keeps its slots in order as it leaves',
+      'hosts that stop at once cut nothing off, whatever signals follow',
     ),
     'backend server crash': trial('engine crashed'),
     'host killed': trial('host killed'),
--- a/packages/trials/src/path.test.ts
+++ b/packages/trials/src/path.test.ts
@@ -337,3 +337,23 @@
   }
   assert.equal(await host.process.ended, 0);
 });
+
+test.test(
+  'hosts that stop at once cut nothing off, whatever signals follow',
+  async () => {
+    for (const [index, host] of fleet.hosts.entries()) {
+      if (fleet.running.includes(host)) continue;
+      await fleet.ready(await fleet.startHost(index));
+    }
+    const answers = Array.from({length: 9}, (_, i) =>
+      caller.chat({...CHAT, prompt: `request stops ${i}`, maxTokens: 80}),
+    );
+    const stopping = fleet.hosts.slice(0, 2).map(host => host.process);
+    for (const {child} of [...stopping, ...stopping]) child.kill('SIGTERM');
+    for (const told of await Promise.all(answers)) {
+      assert.ok(told.isWhole, told.failure);
+      assert.equal(told.resumes, 0);
+    }
+    for (const {ended} of stopping) assert.equal(await ended, 0);
+  },
+);
