--- a/packages/daemon/src/configs.ts
+++ b/packages/daemon/src/configs.ts
@@ -1,3 +1,5 @@
+import * as timers from 'node:timers/promises';
+
 import * as decisions from '@banyanhall/decisions';
 import type * as operators from '@banyanhall/operators';
 import * as platform from '@banyanhall/platform';
@@ -214,7 +216,7 @@
       for (let tries = 0; tries < MAX_TRIES; tries++) {
         const result = await this.tryAppend(request, extra);
         if (result) return result;
-        await new Promise(resolve => setTimeout(resolve, RETRY_MS));
+        await timers.setTimeout(RETRY_MS);
       }
     } catch (error) {
       return {kind: 'unavailable', message: (error as Error).message};
--- a/packages/daemon/src/console.ts
+++ b/packages/daemon/src/console.ts
@@ -1,3 +1,5 @@
+import * as timers from 'node:timers/promises';
+
 import * as decisions from '@banyanhall/decisions';
 import type * as operators from '@banyanhall/operators';
 
@@ -51,7 +53,7 @@
   async inForce(number: number): Promise<readonly operators.console.InForce[]> {
     const {members, configs, host} = this.options;
     members.probeAll();
-    await new Promise(resolve => setTimeout(resolve, ANSWER_WAIT_MS));
+    await timers.setTimeout(ANSWER_WAIT_MS);
     return members.view.members.map(member => {
       const isSelf = member.host === host;
       const known = isSelf
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -1,5 +1,6 @@
 import * as http from 'node:http';
 import * as https from 'node:https';
+import * as timers from 'node:timers/promises';
 
 import * as backends from '@banyanhall/backends';
 import * as callers from '@banyanhall/callers';
@@ -238,9 +239,9 @@
     this.log.info('stopping', {inFlight: this.requests.total});
     this.driver.stop();
     await this.members.leave();
-    await sleep(this.settings.addressKeepMs);
+    await timers.setTimeout(this.settings.addressKeepMs);
     this.isClosed = true;
-    while (this.isBusy) await sleep(DRAIN_POLL_MS);
+    while (this.isBusy) await timers.setTimeout(DRAIN_POLL_MS);
     for (const server of this.servers) {
       server.close();
       server.closeIdleConnections();
@@ -381,7 +382,3 @@
 function writeEvent(event: operators.console.TimelineEvent): void {
   process.stdout.write(`${JSON.stringify(event)}\n`);
 }
-
-function sleep(ms: number): Promise<void> {
-  return new Promise(resolve => setTimeout(resolve, ms));
-}
--- a/packages/daemon/src/stream.ts
+++ b/packages/daemon/src/stream.ts
@@ -1,3 +1,5 @@
+import * as timers from 'node:timers/promises';
+
 import * as backends from '@banyanhall/backends';
 import * as decisions from '@banyanhall/decisions';
 
@@ -63,7 +65,7 @@
     }
     isFirst = false;
     breaks++;
-    await pause(FIRST_BACKOFF_MS * 2 ** (breaks - 1));
+    await timers.setTimeout(FIRST_BACKOFF_MS * 2 ** (breaks - 1));
     source.onResume(answer.length);
   }
 }
@@ -86,7 +88,3 @@
 ): backends.engine.BackendError {
   return new backends.engine.BackendError('gone', error.message);
 }
-
-function pause(ms: number): Promise<void> {
-  return new Promise(resolve => setTimeout(resolve, ms));
-}
--- a/packages/decisions/src/verdict.ts
+++ b/packages/decisions/src/verdict.ts
@@ -71,14 +71,3 @@
     super(failure.message);
   }
 }
-
-const RANK: Readonly<Record<Verdict, number>> = {
-  'not-run': 0,
-  'may-have-run': 1,
-  ran: 2,
-};
-
-/** The stronger of two verdicts: knowledge that a request ran is never lost. */
-export function stronger(a: Verdict, b: Verdict): Verdict {
-  return RANK[a] >= RANK[b] ? a : b;
-}
--- a/packages/trials/src/caller.ts
+++ b/packages/trials/src/caller.ts
@@ -1,5 +1,6 @@
 import * as crypto from 'node:crypto';
 import * as http from 'node:http';
+import * as timers from 'node:timers/promises';
 
 import * as decisions from '@banyanhall/decisions';
 import * as eventsource from 'eventsource-parser';
@@ -99,7 +100,7 @@
       tries++;
       if (!progress.isUnsent) resumes++;
       this.keepUntilMs = 0;
-      await pause(RESUME_PAUSE_MS);
+      await timers.setTimeout(RESUME_PAUSE_MS);
     }
     const {text, isWhole, failure, verdict, firstMs, gapsMs, status} = progress;
     return {
@@ -294,7 +295,3 @@
     return `status ${status}`;
   }
 }
-
-function pause(ms: number): Promise<void> {
-  return new Promise(resolve => setTimeout(resolve, ms));
-}
--- a/packages/trials/src/faultkinds.ts
+++ b/packages/trials/src/faultkinds.ts
@@ -1,3 +1,5 @@
+import * as timers from 'node:timers/promises';
+
 import type * as checks from './checks.js';
 import type * as fleets from './fleet.js';
 
@@ -29,10 +31,6 @@
   return Promise.resolve();
 }
 
-function pause(ms: number): Promise<void> {
-  return new Promise(resolve => setTimeout(resolve, ms));
-}
-
 function backendFault(
   pick: (scene: Scene) => fleets.Backend,
   on: object,
@@ -115,7 +113,7 @@
   killers.push(mark);
   for (let i = 0; i < KILLER_SENDS; i++) {
     await sendKiller(mark);
-    await pause(KILLER_PAUSE_MS);
+    await timers.setTimeout(KILLER_PAUSE_MS);
     await fleet.reviveBackends();
   }
   return nothing;
--- a/packages/trials/src/faults.ts
+++ b/packages/trials/src/faults.ts
@@ -1,4 +1,5 @@
 import * as crypto from 'node:crypto';
+import * as timers from 'node:timers/promises';
 import * as util from 'node:util';
 
 import * as decisions from '@banyanhall/decisions';
@@ -81,12 +82,12 @@
     state.faultCounts.set(name, (state.faultCounts.get(name) ?? 0) + 1);
     heals.push(await faultKinds.FAULTS[name](scene));
   }
-  await pause(FAULT_MS + random() * FAULT_MS);
+  await timers.setTimeout(FAULT_MS + random() * FAULT_MS);
   await Promise.all(heals.map(heal => heal()));
   await Promise.all(fleet.hosts.map(host => fleet.ready(host)));
   if (count > 1) state.stops.length = stopsBefore;
   await fleet.reviveBackends();
-  await pause(REST_MS);
+  await timers.setTimeout(REST_MS);
 }
 
 function sceneOf(state: State): faultKinds.Scene {
@@ -124,7 +125,7 @@
         ? sendCredit(state)
         : sendChat(state, profile, prompt, tokens, String(serial)),
     );
-    await pause((-Math.log(1 - random()) * 1000) / REQUESTS_PER_S);
+    await timers.setTimeout((-Math.log(1 - random()) * 1000) / REQUESTS_PER_S);
   }
   await Promise.all(pending);
 }
@@ -160,7 +161,7 @@
     const attempt = {key, kind: 'plain' as const, prompt: '', maxTokens: 0};
     state.attempts.push({...attempt, sentAtMs, told});
     if (told.isWhole) return;
-    await pause(CREDIT_PAUSE_MS);
+    await timers.setTimeout(CREDIT_PAUSE_MS);
   }
 }
 
@@ -192,10 +193,6 @@
   ].join('\n');
 }
 
-function pause(ms: number): Promise<void> {
-  return new Promise(resolve => setTimeout(resolve, ms));
-}
-
 async function main(): Promise<void> {
   const {values} = util.parseArgs({
     options: {
--- a/packages/trials/src/fleet.ts
+++ b/packages/trials/src/fleet.ts
@@ -1,4 +1,5 @@
 import * as crypto from 'node:crypto';
+import * as timers from 'node:timers/promises';
 
 import type * as decisions from '@banyanhall/decisions';
 import got from 'got';
@@ -194,7 +195,7 @@
   async ready(host: Host): Promise<void> {
     for (let i = 0; i < READY_TRIES; i++) {
       if (await this.isReady(host)) return;
-      await new Promise(resolve => setTimeout(resolve, READY_MS));
+      await timers.setTimeout(READY_MS);
     }
     throw new Error(`${host.name} did not become ready`);
   }
--- a/packages/trials/src/load.ts
+++ b/packages/trials/src/load.ts
@@ -1,5 +1,6 @@
 import * as decisions from '@banyanhall/decisions';
 
+import * as arrivals from './arrivals.js';
 import type * as callers from './caller.js';
 import * as figures from './figures.js';
 
@@ -75,16 +76,7 @@
 /** Sends the load and resolves when every request has ended. */
 export async function run(plan: LoadPlan): Promise<readonly Result[]> {
   const random = decisions.random.seeded(plan.seed);
-  const pending: Promise<Result>[] = [];
-  const startedMs = performance.now();
-  let dueMs = 0;
-  for (let serial = 0; dueMs < plan.durationMs; serial++) {
-    const waitMs = startedMs + dueMs - performance.now();
-    if (waitMs > 0) await new Promise(resolve => setTimeout(resolve, waitMs));
-    pending.push(one(plan, random, serial));
-    dueMs += (-Math.log(1 - random()) * 1000) / plan.requestsPerS;
-  }
-  return Promise.all(pending);
+  return arrivals.send({...plan, random}, serial => one(plan, random, serial));
 }
 
 async function one(
--- a/packages/trials/src/measure.ts
+++ b/packages/trials/src/measure.ts
@@ -4,6 +4,7 @@
 import * as decisions from '@banyanhall/decisions';
 import * as hdr from 'hdr-histogram-js';
 
+import * as arrivals from './arrivals.js';
 import * as baselines from './baseline.js';
 import * as callers from './caller.js';
 import * as figures from './figures.js';
@@ -144,7 +145,11 @@
     const third = (seconds * 1000) / 3;
     const faults = setTimeout(() => void scenario.start(fleet), third);
     const heals = setTimeout(() => void scenario.heal(fleet), 2 * third);
-    const sent = await send(sender, seed, seconds * 1000, requestsPerS);
+    const random = decisions.random.seeded(seed);
+    const sent = await arrivals.send(
+      {random, requestsPerS, durationMs: seconds * 1000},
+      (serial, dueMs) => one(sender, random, serial, dueMs),
+    );
     clearTimeout(faults);
     clearTimeout(heals);
     return figuresOf(policy, scenarioName, seed, seconds, sent, fleet);
@@ -154,25 +159,6 @@
   }
 }
 
-async function send(
-  sender: baselines.Sender,
-  seed: number,
-  durationMs: number,
-  requestsPerS: number,
-): Promise<readonly Sent[]> {
-  const random = decisions.random.seeded(seed);
-  const pending: Promise<Sent>[] = [];
-  const startedMs = performance.now();
-  let dueMs = 0;
-  for (let serial = 0; dueMs < durationMs; serial++) {
-    const waitMs = startedMs + dueMs - performance.now();
-    if (waitMs > 0) await new Promise(resolve => setTimeout(resolve, waitMs));
-    pending.push(one(sender, random, serial, dueMs));
-    dueMs += (-Math.log(1 - random()) * 1000) / requestsPerS;
-  }
-  return Promise.all(pending);
-}
-
 async function one(
   sender: baselines.Sender,
   random: decisions.random.Random,
--- a/packages/trials/src/movetrial.ts
+++ b/packages/trials/src/movetrial.ts
@@ -1,3 +1,4 @@
+import * as timers from 'node:timers/promises';
 import * as util from 'node:util';
 
 import type * as decisions from '@banyanhall/decisions';
@@ -108,7 +109,7 @@
     const body = {service: SERVICE, to: 'v2', author: 'trial', deadlineAtMs};
     await fleet.operator(host, '/operator/moves', body);
     if (one.hit) {
-      await pause(HIT_MS);
+      await timers.setTimeout(HIT_MS);
       const move = await latest(fleet);
       if (move) await one.hit(fleet, move);
     }
@@ -140,7 +141,7 @@
   while (Date.now() < untilMs) {
     move = (await latest(fleet)) ?? move;
     if (move?.phase === 'finished' || move?.phase === 'taken-back') return move;
-    await pause(POLL_MS);
+    await timers.setTimeout(POLL_MS);
   }
   return move;
 }
@@ -168,10 +169,6 @@
   return {isRight: isRight && isQuiet, text};
 }
 
-function pause(ms: number): Promise<void> {
-  return new Promise(resolve => setTimeout(resolve, ms));
-}
-
 async function main(): Promise<void> {
   const {values} = util.parseArgs({options: {only: {type: 'string'}}});
   const cases = CASES.filter(({name}) => !values.only || name === values.only);
--- a/packages/trials/src/slopes.ts
+++ b/packages/trials/src/slopes.ts
@@ -1,4 +1,5 @@
 import * as crypto from 'node:crypto';
+import * as timers from 'node:timers/promises';
 import * as util from 'node:util';
 
 import type * as decisions from '@banyanhall/decisions';
@@ -83,7 +84,7 @@
 
 async function window(
   fleet: fleets.Fleet,
-  work: () => Promise<void> = () => pause(WINDOW_MS),
+  work: () => Promise<void> = () => timers.setTimeout(WINDOW_MS),
 ): Promise<Rates> {
   const first = await read(fleet);
   await work();
@@ -127,7 +128,7 @@
 async function idle(hosts: number): Promise<void> {
   const fleet = await fleets.Fleet.start(plan(hosts));
   try {
-    await pause(SETTLE_MS);
+    await timers.setTimeout(SETTLE_MS);
     print(`idle, ${hosts} hosts`, await window(fleet));
     await changes(fleet, hosts);
   } finally {
@@ -162,7 +163,7 @@
   const fleet = await fleets.Fleet.start(plan(8));
   const caller = new callers.Caller(fleet.hosts.map(host => host.callerUrl));
   try {
-    await pause(SETTLE_MS);
+    await timers.setTimeout(SETTLE_MS);
     const rates = await window(fleet, () => sendFor(caller, perS, isCredit));
     const kind = isCredit ? 'claimed calls' : 'chats of 4 tokens';
     const status = await read(fleet);
@@ -194,7 +195,7 @@
         ? caller.plain(account, 'credit', 'tray-ledger/credits', {})
         : caller.chat(order),
     );
-    await pause(1000 / perS);
+    await timers.setTimeout(1000 / perS);
   }
   await Promise.all(pending);
 }
@@ -208,7 +209,7 @@
         accountEdits(at, Math.min(count, at + ACCOUNTS_IN_ONE_CHANGE)),
       );
     }
-    await pause(SETTLE_MS);
+    await timers.setTimeout(SETTLE_MS);
     print(`${count} accounts, 8 hosts`, await window(fleet));
     await changes(fleet, 8);
   } finally {
@@ -233,10 +234,6 @@
   });
 }
 
-function pause(ms: number): Promise<void> {
-  return new Promise(resolve => setTimeout(resolve, ms));
-}
-
 const SECTIONS: Readonly<
   Record<string, (sizes: readonly number[]) => Promise<void>>
 > = {
