--- /dev/null
+++ b/build.mjs
@@ -0,0 +1,33 @@
+// Bundles the program that runs on the platform into one file under target/.
+import * as path from 'node:path';
+
+import * as esbuild from 'esbuild';
+
+/** Takes the project's packages from their sources, so that nothing is built outside target/. */
+const fromSources = {
+  name: 'from-sources',
+  setup(build) {
+    build.onResolve({filter: /^@banyanhall\//}, ({path: name}) => {
+      const [, folder, file = 'index.js'] = name.split('/');
+      const source = file.replace(/\.js$/, '.ts');
+      return {path: path.resolve('packages', folder, 'src', source)};
+    });
+  },
+};
+
+await esbuild.build({
+  entryPoints: ['platform/src/main.ts'],
+  outfile: 'target/banyanhalld.mjs',
+  bundle: true,
+  minify: true,
+  keepNames: true,
+  platform: 'node',
+  format: 'esm',
+  target: 'node20',
+  // Libraries in CommonJS call require for built-in modules.
+  banner: {
+    js: "import {createRequire} from 'node:module'; const require = createRequire(import.meta.url);",
+  },
+  plugins: [fromSources],
+  logLevel: 'warning',
+});
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -3,12 +3,12 @@
 const namedImport = 'ImportDeclaration > ImportSpecifier';
 
 export default [
-  {ignores: ['**/dist/**', '**/generated/**', 'node_modules/**']},
+  {ignores: ['**/dist/**', 'target/**', '**/generated/**', 'node_modules/**']},
   ...gts,
   {
-    files: ['packages/*/src/**/*.ts'],
+    files: ['packages/*/src/**/*.ts', 'platform/src/**/*.ts'],
     languageOptions: {
-      parserOptions: {project: ['packages/*/tsconfig.json']},
+      parserOptions: {project: ['packages/*/tsconfig.json', 'platform/tsconfig.json']},
     },
     rules: {
       'no-restricted-syntax': [
--- a/packages/daemon/src/chat.ts
+++ b/packages/daemon/src/chat.ts
@@ -3,16 +3,16 @@
 import * as decisions from '@banyanhall/decisions';
 
 import type * as claimsModule from './claims.js';
-import type * as crashesModule from './crashes.js';
+import type * as crashesModule from '@banyanhall/fleet/crashes.js';
 import type * as dispatcherModule from './dispatcher.js';
-import * as limits from './limits.js';
+import * as limits from '@banyanhall/fleet/limits.js';
 import * as requestsModule from './requests.js';
-import type * as routers from './router.js';
+import type * as routers from '@banyanhall/fleet/router.js';
 import type * as samples from './samples.js';
 import * as sessionsModule from './sessions.js';
-import type * as slotsModule from './slots.js';
+import type * as slotsModule from '@banyanhall/fleet/slots.js';
 import * as streams from './stream.js';
-import type * as timelines from './timeline.js';
+import type * as timelines from '@banyanhall/fleet/timeline.js';
 
 /** What chat requests need from the rest of the host. */
 export interface ChatOptions {
--- a/packages/daemon/src/claims.test.ts
+++ b/packages/daemon/src/claims.test.ts
@@ -6,7 +6,7 @@
 import * as fc from 'fast-check';
 
 import * as claims from './claims.js';
-import * as timelines from './timeline.js';
+import * as timelines from '@banyanhall/fleet/timeline.js';
 
 const SEED = 20261204;
 
--- a/packages/daemon/src/claims.ts
+++ b/packages/daemon/src/claims.ts
@@ -3,7 +3,7 @@
 import * as decisions from '@banyanhall/decisions';
 import * as platform from '@banyanhall/platform';
 
-import type * as timelines from './timeline.js';
+import type * as timelines from '@banyanhall/fleet/timeline.js';
 
 const MAX_GROUP = 100;
 const MAX_TRIES = 4;
--- a/packages/daemon/src/configs.test.ts
+++ b/packages/daemon/src/configs.test.ts
@@ -5,7 +5,7 @@
 import * as platform from '@banyanhall/platform';
 
 import * as configs from './configs.js';
-import * as timelines from './timeline.js';
+import * as timelines from '@banyanhall/fleet/timeline.js';
 
 interface Rig {
   readonly store: platform.fake.FakePlatform;
--- a/packages/daemon/src/configs.ts
+++ b/packages/daemon/src/configs.ts
@@ -4,9 +4,9 @@
 import type * as operators from '@banyanhall/operators';
 import * as platform from '@banyanhall/platform';
 
-import type * as membersModule from './members.js';
-import type * as routers from './router.js';
-import type * as timelines from './timeline.js';
+import type * as membersModule from '@banyanhall/fleet/members.js';
+import type * as routers from '@banyanhall/fleet/router.js';
+import type * as timelines from '@banyanhall/fleet/timeline.js';
 
 const HEAD_KEY = 'config/head';
 const SNAPSHOT_KEY = 'config/snapshot';
--- a/packages/daemon/src/console.ts
+++ b/packages/daemon/src/console.ts
@@ -4,11 +4,11 @@
 import type * as operators from '@banyanhall/operators';
 
 import type * as configsModule from './configs.js';
-import type * as crashesModule from './crashes.js';
-import type * as keeperModule from './keeper.js';
-import type * as membersModule from './members.js';
+import type * as crashesModule from '@banyanhall/fleet/crashes.js';
+import type * as keeperModule from '@banyanhall/fleet/keeper.js';
+import type * as membersModule from '@banyanhall/fleet/members.js';
 import type * as moves from './moves.js';
-import type * as timelines from './timeline.js';
+import type * as timelines from '@banyanhall/fleet/timeline.js';
 
 const ANSWER_WAIT_MS = 300;
 
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -14,20 +14,20 @@
 import * as claimsModule from './claims.js';
 import * as configsModule from './configs.js';
 import * as consoles from './console.js';
-import * as crashesModule from './crashes.js';
+import * as crashesModule from '@banyanhall/fleet/crashes.js';
 import * as dispatchers from './dispatcher.js';
 import * as drivers from './driver.js';
-import * as keepers from './keeper.js';
-import * as membersModule from './members.js';
+import * as keepers from '@banyanhall/fleet/keeper.js';
+import * as membersModule from '@banyanhall/fleet/members.js';
 import * as moves from './moves.js';
 import * as plains from './plain.js';
 import * as requestsModule from './requests.js';
-import * as routers from './router.js';
+import * as routers from '@banyanhall/fleet/router.js';
 import type * as settingsModule from './settings.js';
 import * as sharesModule from './shares.js';
-import * as slotsModule from './slots.js';
+import * as slotsModule from '@banyanhall/fleet/slots.js';
 import * as telemetry from './telemetry.js';
-import * as timelines from './timeline.js';
+import * as timelines from '@banyanhall/fleet/timeline.js';
 
 const DRAIN_POLL_MS = 100;
 const GAUGE_MS = 1000;
@@ -298,6 +298,9 @@
       hold: (from, body) => keeper.onHold(from, body),
       grant: (from, body) => slots.onGrant(from, body),
       refuse: (from, body) => slots.onRefuse(from, body),
+      queued: (from, body) => slots.onQueued(from, body),
+      // Hosts of this daemon share no amounts over windows.
+      usage: () => undefined,
       probe: (from, body) => members.onProbe(from, body),
       ack: (from, body) => members.onAck(from, body),
       news: (from, body) => {
--- a/packages/daemon/src/dispatcher.test.ts
+++ b/packages/daemon/src/dispatcher.test.ts
@@ -5,7 +5,7 @@
 import * as decisions from '@banyanhall/decisions';
 
 import * as dispatchers from './dispatcher.js';
-import * as timelines from './timeline.js';
+import * as timelines from '@banyanhall/fleet/timeline.js';
 
 const SERVER = {name: 's1', url: 'http://none'} as never;
 
--- a/packages/daemon/src/dispatcher.ts
+++ b/packages/daemon/src/dispatcher.ts
@@ -2,11 +2,11 @@
 import * as decisions from '@banyanhall/decisions';
 
 import type * as claimsModule from './claims.js';
-import type * as crashesModule from './crashes.js';
-import * as limits from './limits.js';
+import type * as crashesModule from '@banyanhall/fleet/crashes.js';
+import * as limits from '@banyanhall/fleet/limits.js';
 import type * as samples from './samples.js';
-import type * as slotsModule from './slots.js';
-import type * as timelines from './timeline.js';
+import type * as slotsModule from '@banyanhall/fleet/slots.js';
+import type * as timelines from '@banyanhall/fleet/timeline.js';
 
 const MAX_ATTEMPTS = 6;
 
--- a/packages/daemon/src/driver.ts
+++ b/packages/daemon/src/driver.ts
@@ -3,10 +3,10 @@
 import type * as peers from '@banyanhall/peers';
 
 import type * as configsModule from './configs.js';
-import type * as membersModule from './members.js';
+import type * as membersModule from '@banyanhall/fleet/members.js';
 import type * as moves from './moves.js';
-import type * as routers from './router.js';
-import type * as timelines from './timeline.js';
+import type * as routers from '@banyanhall/fleet/router.js';
+import type * as timelines from '@banyanhall/fleet/timeline.js';
 
 const DRIVE_MS = 300;
 const SCAN_MS = 1500;
--- a/packages/daemon/src/plain.ts
+++ b/packages/daemon/src/plain.ts
@@ -3,12 +3,12 @@
 import * as decisions from '@banyanhall/decisions';
 
 import type * as claimsModule from './claims.js';
-import type * as crashesModule from './crashes.js';
+import type * as crashesModule from '@banyanhall/fleet/crashes.js';
 import type * as dispatcherModule from './dispatcher.js';
 import type * as requestsModule from './requests.js';
 import type * as samples from './samples.js';
-import type * as slotsModule from './slots.js';
-import type * as timelines from './timeline.js';
+import type * as slotsModule from '@banyanhall/fleet/slots.js';
+import type * as timelines from '@banyanhall/fleet/timeline.js';
 
 const PLAIN_TOKENS = 1;
 
--- a/packages/daemon/src/requests.ts
+++ b/packages/daemon/src/requests.ts
@@ -2,10 +2,10 @@
 import * as decisions from '@banyanhall/decisions';
 
 import type * as claimsModule from './claims.js';
-import type * as crashesModule from './crashes.js';
+import type * as crashesModule from '@banyanhall/fleet/crashes.js';
 import type * as dispatcher from './dispatcher.js';
-import * as limits from './limits.js';
-import type * as timelines from './timeline.js';
+import * as limits from '@banyanhall/fleet/limits.js';
+import type * as timelines from '@banyanhall/fleet/timeline.js';
 
 /** What is known of a request before it is prepared. */
 export interface Incoming {
--- a/packages/daemon/src/sessions.ts
+++ b/packages/daemon/src/sessions.ts
@@ -2,9 +2,9 @@
 import type * as callers from '@banyanhall/callers';
 import * as decisions from '@banyanhall/decisions';
 
-import * as limits from './limits.js';
-import type * as slotsModule from './slots.js';
-import type * as timelines from './timeline.js';
+import * as limits from '@banyanhall/fleet/limits.js';
+import type * as slotsModule from '@banyanhall/fleet/slots.js';
+import type * as timelines from '@banyanhall/fleet/timeline.js';
 
 /** How long a stream runs on after its caller's connection broke, in milliseconds, so that it can be resumed. */
 const RESUME_GRACE_MS = 3000;
--- a/packages/daemon/src/shares.ts
+++ b/packages/daemon/src/shares.ts
@@ -2,9 +2,9 @@
 import type * as peers from '@banyanhall/peers';
 
 import type * as dispatcher from './dispatcher.js';
-import type * as routers from './router.js';
+import type * as routers from '@banyanhall/fleet/router.js';
 import * as samples from './samples.js';
-import type * as timelines from './timeline.js';
+import type * as timelines from '@banyanhall/fleet/timeline.js';
 
 const FLUSH_MS = 200;
 
--- a/packages/decisions/src/config.ts
+++ b/packages/decisions/src/config.ts
@@ -1,3 +1,5 @@
+import type * as pace from './pace.js';
+
 /** A tier of requests; 1 is the most urgent. */
 export type Tier = 1 | 2 | 3;
 
@@ -31,6 +33,8 @@
   readonly zone: string;
   readonly slotTokens: number;
   readonly maxRunning: number;
+  /** The speed to assume before anything was measured, when more is known than the default. */
+  readonly expectedPace?: pace.Pace;
 }
 
 /** Whether the backend servers of a service refuse orders with an old fencing number. */
--- a/packages/decisions/src/runner.ts
+++ b/packages/decisions/src/runner.ts
@@ -67,7 +67,7 @@
       failures: 0,
       retryAtMs: 0,
       leavingAtMs: 0,
-      pace: pace.INITIAL_PACE,
+      pace: server.expectedPace ?? pace.INITIAL_PACE,
       cached: prefix.PrefixGuess.empty,
       usedTokens: 0,
       running: 0,
--- a/packages/daemon/src/keeper.ts
+++ b/packages/fleet/src/keeper.ts
@@ -24,7 +24,8 @@
   readonly clock: decisions.clock.Clock;
   readonly router: routers.Router;
   readonly timeline: timelines.Timeline;
-  readonly backends: backends.client.BackendClient;
+  /** Polled for load reports; without it, only answers tell the state of a backend server. */
+  readonly backends?: backends.client.BackendClient;
   readonly hostList: platform.table.HostList;
   readonly config: () => decisions.config.Config;
   readonly serving: () => readonly decisions.membership.Member[];
@@ -63,8 +64,9 @@
   start(): void {
     this.timers.push(
       setInterval(() => this.tick(), TICK_MS),
-      setInterval(() => void this.poll(), POLL_MS),
     );
+    if (!this.options.backends) return;
+    this.timers.push(setInterval(() => void this.poll(), POLL_MS));
   }
 
   /** Stops the timers. */
@@ -76,6 +78,12 @@
   onAsk(from: string, ask: peers.messages.Messages['ask']): void {
     const ticket = this.ticketOf(from, ask.ticket);
     this.apply(ask.cell, {kind: 'ask', ticket});
+    const cell = this.cells.get(ask.cell)?.cell;
+    if (!cell?.waiting.some(({id}) => id === ticket.id)) return;
+    const nowMs = this.options.clock.monotonicMs();
+    const waitMs = Math.ceil(cell.estimate.lastWaitMs(nowMs));
+    const body = {cell: ask.cell, ticketId: ticket.id, waitMs};
+    this.options.router.send(from, {kind: 'queued', body});
   }
 
   /** Takes a waiting ticket, or its unused slot, back. */
@@ -254,7 +262,9 @@
     cell: string,
     server: decisions.config.BackendServer,
   ): Promise<void> {
-    const sign = await this.options.backends.load(server.url).then(
+    const {backends: client} = this.options;
+    if (!client) return;
+    const sign = await client.load(server.url).then(
       report => (report.isLeaving ? ('leaving' as const) : ('live' as const)),
       (error: backends.engine.BackendError) =>
         error.kind === 'unreachable' ? ('unreachable' as const) : undefined,
--- a/packages/daemon/src/slots.ts
+++ b/packages/fleet/src/slots.ts
@@ -5,7 +5,10 @@
 import type * as routers from './router.js';
 import type * as timelines from './timeline.js';
 
-const ASK_AGAIN_MS = 1000;
+const ASK_AGAIN_MS = 300;
+/** How long a keeper may leave an ask without any answer; covers two ways between regions and a busy loop. */
+const ANSWER_TIMEOUT_MS = 150;
+const CHECK_MS = 50;
 const LOAD_KNOWN_MS = 2000;
 const FAR_CELL_MS = 50;
 /** A request of the lowest tier tries this many cells; higher tiers try all before they are refused. */
@@ -43,6 +46,13 @@
   readonly timeline: timelines.Timeline;
   readonly config: () => decisions.config.Config;
   readonly serving: () => readonly decisions.membership.Member[];
+  /**
+   * Chooses a backend server without the keeper, when that does not answer.
+   * Without it, asks are only repeated.
+   */
+  readonly chooseAlone?: (
+    wanted: Wanted,
+  ) => decisions.config.BackendServer | undefined;
 }
 
 interface Pending {
@@ -51,6 +61,7 @@
   readonly cell: string;
   readonly keeper: string;
   readonly askedMs: number;
+  readonly isAnswered: boolean;
   readonly resolve: (grant: Grant) => void;
   readonly reject: (error: decisions.verdict.FailureError) => void;
 }
@@ -106,7 +117,7 @@
 
   /** Starts asking again for what got no answer. */
   start(): void {
-    this.timer = setInterval(() => this.askAgain(), ASK_AGAIN_MS);
+    this.timer = setInterval(() => this.askAgain(), CHECK_MS);
   }
 
   /** Stops asking again. */
@@ -119,6 +130,15 @@
     return this.pending.size + this.held.size;
   }
 
+  /** How many slots this host holds on a backend server. */
+  heldOn(server: string): number {
+    let count = 0;
+    for (const held of this.held.values()) {
+      if (held.runner === server) count++;
+    }
+    return count;
+  }
+
   /** Waits for a slot; rejects with FailureError (not-run) when refused, late or cancelled. */
   acquire(wanted: Wanted, signal: AbortSignal): Promise<Grant> {
     if (signal.aborted) {
@@ -146,6 +166,7 @@
         cell: cells[0],
         keeper: '',
         askedMs: 0,
+        isAnswered: false,
         resolve: settle(resolve),
         reject: settle(reject),
       });
@@ -219,6 +240,14 @@
     pending.reject(failed(REFUSALS['no-runner'](0)));
   }
 
+  /** Notes that a ticket waits at its keeper. */
+  onQueued(_: string, queued: peers.messages.Messages['queued']): void {
+    this.noteLoad(queued.cell, queued.waitMs);
+    const pending = this.pending.get(queued.ticketId);
+    if (!pending || pending.cell !== queued.cell) return;
+    this.pending.set(queued.ticketId, {...pending, isAnswered: true});
+  }
+
   /**
    * Takes in a refusal. A request is refused only after every other cell of
    * its service had the chance to make room for it by giving up a lower
@@ -274,7 +303,8 @@
     const {wanted, cell} = pending;
     const keeper = this.keeperOf(cell);
     const askedMs = this.options.clock.monotonicMs();
-    this.pending.set(wanted.requestId, {...pending, keeper, askedMs});
+    const asked = {...pending, keeper, askedMs, isAnswered: false};
+    this.pending.set(wanted.requestId, asked);
     this.options.timeline.record('asked', wanted.requestId, {cell, keeper});
     this.options.router.send(keeper, {
       kind: 'ask',
@@ -282,7 +312,35 @@
     });
   }
 
+  /** Does without a keeper that left an ask unanswered: the slot is chosen here and told to it. */
+  private doWithoutKeeper(pending: Pending): boolean {
+    const {wanted, keeper, cell} = pending;
+    const server = this.options.chooseAlone?.(wanted);
+    if (!server) return false;
+    const ticketId = wanted.requestId;
+    this.options.timeline.record('alone', ticketId, {
+      keeper,
+      server: server.name,
+    });
+    this.withdraw(ticketId);
+    const grantedMs = this.options.clock.monotonicMs();
+    const held: Held = {cell, wanted, runner: server.name, grantedMs};
+    this.held.set(ticketId, held);
+    this.sendHold(cell, [held], false);
+    pending.resolve({ticketId, server});
+    return true;
+  }
+
+  private checkUnanswered(): void {
+    const beforeMs = this.options.clock.monotonicMs() - ANSWER_TIMEOUT_MS;
+    for (const pending of this.pending.values()) {
+      if (pending.isAnswered || pending.askedMs > beforeMs) continue;
+      this.doWithoutKeeper(pending);
+    }
+  }
+
   private askAgain(): void {
+    this.checkUnanswered();
     const beforeMs = this.options.clock.monotonicMs() - ASK_AGAIN_MS;
     for (const pending of this.pending.values()) {
       if (pending.askedMs <= beforeMs) this.ask(pending);
--- a/packages/daemon/src/timeline.ts
+++ b/packages/fleet/src/timeline.ts
@@ -6,6 +6,7 @@
 export type EventKind =
   | 'received'
   | 'asked'
+  | 'alone'
   | 'granted'
   | 'claimed'
   | 'dispatched'
--- /dev/null
+++ b/packages/gateway/src/delivery.ts
@@ -0,0 +1,567 @@
+import * as net from 'node:net';
+
+import * as decisions from '@banyanhall/decisions';
+import type * as crashesModule from '@banyanhall/fleet/crashes.js';
+import type * as slotsModule from '@banyanhall/fleet/slots.js';
+import * as forwarding from '@banyanhall/forwarding';
+
+import type * as bounds from './bounds.js';
+import type * as callers from './caller.js';
+import * as directories from './directory.js';
+import type * as logs from './logs.js';
+import type * as metrics from './metrics.js';
+import * as requests from './request.js';
+import type * as rollouts from './rollouts.js';
+
+/** Sends of one request at most, whatever its route allows; refused ones included. */
+const MAX_SENDS = 4;
+/** The wait for a resumable stream's next event after which it goes on elsewhere. */
+const STREAM_SILENCE_MS = 1200;
+/** The wait for an idempotent request's answer, as a multiple of its objective, after which it is sent elsewhere. */
+const SILENCE_FACTOR = 2.5;
+const MIN_SILENCE_MS = 300;
+/** The time before the deadline that a second send needs to be worth it. */
+const MIN_LEFT_MS = 60;
+const CRASH_PROBE_MS = 250;
+const OK = 200;
+const SERVER_ERROR = 500;
+/** How soon a caller may come back when no backend server took its request. */
+const NO_SERVER_RETRY_MS = 700;
+
+/** What a delivery needs from the rest of the host. */
+export interface DeliveryOptions {
+  readonly clock: decisions.clock.Clock;
+  readonly dialect: requests.Dialect;
+  readonly directory: directories.Directory;
+  readonly upstream: forwarding.upstream.Upstream;
+  readonly slots: slotsModule.Slots;
+  readonly crashes: crashesModule.Crashes;
+  readonly bounds: bounds.SharedBounds;
+  readonly rollouts: rollouts.Rollouts;
+  readonly log: logs.Log;
+  readonly metrics: metrics.Metrics;
+}
+
+/** How a delivery ended; the answer has gone to the caller unless it is a refusal or failure. */
+export type Ended =
+  | {readonly kind: 'answered'; readonly status: number}
+  | {readonly kind: 'broken-off'; readonly reason: string}
+  | {readonly kind: 'caller-left'}
+  | requests.Refusal;
+
+interface Attempt {
+  readonly grant: slotsModule.Grant;
+  readonly entry: directories.ServerEntry;
+  readonly isCandidate: boolean;
+  readonly number: number;
+  readonly sentMs: number;
+}
+
+/** Progress of one request over its sends. */
+interface Progress {
+  sends: number;
+  mayHaveRun: boolean;
+  lastEventId: string | undefined;
+  hasEvents: boolean;
+}
+
+type StepResult =
+  {readonly kind: 'again'} | {readonly kind: 'ended'; readonly ended: Ended};
+
+const AGAIN: StepResult = {kind: 'again'};
+
+/** Brings requests to backend servers and their answers back. */
+export class Deliveries {
+  constructor(private readonly options: DeliveryOptions) {}
+
+  /** Delivers one request; never throws. */
+  async run(
+    accepted: requests.Accepted,
+    caller: callers.CallerAnswer,
+  ): Promise<Ended> {
+    const {received} = accepted;
+    const leftMs = Math.max(1, accepted.deadlineMs - this.nowMs);
+    const deadline = new AbortController();
+    const timer = setTimeout(
+      () => deadline.abort(new Error('deadline')),
+      leftMs,
+    );
+    const signal = AbortSignal.any([caller.left, deadline.signal]);
+    const progress: Progress = {
+      sends: 0,
+      mayHaveRun: false,
+      lastEventId: forwarding.headers.value(
+        received.headers,
+        this.options.dialect.names.lastEventId,
+      ),
+      hasEvents: false,
+    };
+    try {
+      for (;;) {
+        const step = await this.step(accepted, caller, progress, signal);
+        if (step.kind === 'ended') return this.settled(step.ended, caller);
+      }
+    } finally {
+      clearTimeout(timer);
+    }
+  }
+
+  private get nowMs(): number {
+    return this.options.clock.monotonicMs();
+  }
+
+  private settled(ended: Ended, caller: callers.CallerAnswer): Ended {
+    return caller.isLeft && ended.kind !== 'answered'
+      ? {kind: 'caller-left'}
+      : ended;
+  }
+
+  /** One send, from slot to answer. */
+  private async step(
+    accepted: requests.Accepted,
+    caller: callers.CallerAnswer,
+    progress: Progress,
+    signal: AbortSignal,
+  ): Promise<StepResult> {
+    const {directory, slots, rollouts, metrics} = this.options;
+    const isCandidate = rollouts.usesCandidate(accepted.service);
+    const pool = directory.pool(accepted.service, isCandidate);
+    if (!pool) return this.gaveUp(progress, 'no-backend-server');
+    if (progress.sends > 0 && !this.mayRepeat(accepted, progress)) {
+      return this.gaveUp(progress, 'no-repeat-left');
+    }
+    let grant: slotsModule.Grant;
+    try {
+      grant = await slots.acquire(this.wanted(accepted, pool), signal);
+    } catch (error) {
+      if (!(error instanceof decisions.verdict.FailureError)) throw error;
+      const {type, retryAfterMs} = error.failure;
+      if (signal.aborted) return this.overdue(progress);
+      return this.gaveUp(progress, type, retryAfterMs);
+    }
+    metrics.slotWaitS.observe(
+      {service: accepted.service},
+      (this.nowMs - accepted.received.arrivedMs) / 1000,
+    );
+    const entry = directory.entry(grant.server.name);
+    if (!entry) {
+      slots.done(grant.ticketId, {kind: 'not-admitted', isLeaving: true});
+      return AGAIN;
+    }
+    const attempt: Attempt = {
+      ...{grant, entry, isCandidate},
+      number: ++progress.sends,
+      sentMs: this.nowMs,
+    };
+    if (attempt.number === 1) this.options.bounds.firstSend(accepted.service);
+    else metrics.repeats.inc({service: accepted.service});
+    return this.send(accepted, caller, progress, attempt, signal);
+  }
+
+  private wanted(
+    accepted: requests.Accepted,
+    pool: decisions.config.Service,
+  ): slotsModule.Wanted {
+    const {received, account, demand, deadlineMs, fingerprint} = accepted;
+    const standing = this.options.crashes.standing(fingerprint);
+    return {
+      requestId: received.id,
+      service: pool,
+      account: {
+        name: account?.name ?? '',
+        keySha256: '',
+        profiles: [],
+        maxInFlight: Infinity,
+        weight: Math.max(1, account?.tokensPerS ?? 1),
+      },
+      tier: requests.tierOf(accepted),
+      deadlineMs,
+      promptTokens: demand?.promptTokens ?? 0,
+      outputTokens:
+        demand?.likelyOutputTokens ?? directories.PLAIN_OUTPUT_TOKENS,
+      chain: chainOf(demand),
+      version: '',
+      isSuspect: standing !== 'clear',
+    };
+  }
+
+  private async send(
+    accepted: requests.Accepted,
+    caller: callers.CallerAnswer,
+    progress: Progress,
+    attempt: Attempt,
+    signal: AbortSignal,
+  ): Promise<StepResult> {
+    const {dialect, upstream, crashes, slots, log} = this.options;
+    const {received, route} = accepted;
+    const {names} = dialect;
+    const {entry, grant} = attempt;
+    const leftMs = Math.floor(accepted.deadlineMs - this.nowMs);
+    if (leftMs <= 1) {
+      slots.done(grant.ticketId, {kind: 'cancelled'});
+      return this.overdue(progress);
+    }
+    const set: Record<string, string> = {
+      [names.remainingMs]: String(leftMs),
+      [names.expectedServer]: entry.id,
+    };
+    if (progress.lastEventId !== undefined) {
+      set[names.lastEventId] = progress.lastEventId;
+    }
+    const leave = crashes.enter(entry.id, received.id, accepted.fingerprint);
+    log.event('sent', received.id, {
+      server: entry.id,
+      address: entry.address,
+      send: attempt.number,
+      route: route.name,
+      isCandidate: attempt.isCandidate,
+      leftMs,
+      waitedMs: Math.round(attempt.sentMs - received.arrivedMs),
+    });
+    const silence = new AbortController();
+    const patienceMs = this.silenceMs(accepted, progress);
+    const timer = setTimeout(
+      () => silence.abort(new Error('silent')),
+      Math.min(patienceMs, 2 ** 31 - 1),
+    );
+    const sendSignal = AbortSignal.any([signal, silence.signal]);
+    try {
+      const sent = await upstream.send(
+        {
+          address: entry.address,
+          method: received.method,
+          path: received.target,
+          headers: requests.outboundHeaders(accepted, dialect, set),
+          body: received.body,
+          requestId: received.id,
+        },
+        sendSignal,
+      );
+      if (sent.kind === 'failed') {
+        return await this.failed(accepted, progress, attempt, sent, signal);
+      }
+      return await this.relay(
+        accepted,
+        caller,
+        progress,
+        attempt,
+        sent,
+        signal,
+        timer,
+      );
+    } finally {
+      clearTimeout(timer);
+      leave();
+    }
+  }
+
+  /** Passes an answer on: streams as they come, all others once they are whole. */
+  private relay(
+    accepted: requests.Accepted,
+    caller: callers.CallerAnswer,
+    progress: Progress,
+    attempt: Attempt,
+    head: forwarding.upstream.AnswerHead,
+    signal: AbortSignal,
+    timer: NodeJS.Timeout,
+  ): Promise<StepResult> {
+    const {response} = head;
+    const type = response.headers['content-type'] ?? '';
+    const isStream =
+      accepted.route.repeatability === 'stream' &&
+      response.statusCode === OK &&
+      type.includes('event-stream');
+    if (isStream) {
+      return this.relayStream(
+        ...[accepted, caller, progress, attempt, head, signal, timer] as const,
+      );
+    }
+    return this.relayWhole(accepted, caller, progress, attempt, head, signal);
+  }
+
+  private async relayWhole(
+    accepted: requests.Accepted,
+    caller: callers.CallerAnswer,
+    progress: Progress,
+    attempt: Attempt,
+    head: forwarding.upstream.AnswerHead,
+    signal: AbortSignal,
+  ): Promise<StepResult> {
+    const {response} = head;
+    const status = response.statusCode ?? 0;
+    const body = await forwarding.upstream.wholeBody(response);
+    const isSuccess = status >= OK && status < 300;
+    const isSigned =
+      response.headers[this.options.dialect.names.signature] !== undefined;
+    if (!body || (isSuccess && !isSigned)) {
+      head.cancel();
+      const failure = brokenAnswer(body ? 'no signature' : 'body broke off');
+      return this.failed(accepted, progress, attempt, failure, signal);
+    }
+    const durationMs = this.nowMs - attempt.sentMs;
+    const isFailure = status >= SERVER_ERROR;
+    this.observe(accepted, attempt, isFailure, durationMs, 0);
+    this.options.slots.done(attempt.grant.ticketId, {
+      kind: 'completed',
+      measured: {
+        prefillTokens: 0,
+        outputTokens: isFailure ? 0 : directories.PLAIN_OUTPUT_TOKENS,
+        firstTokenMs: 0,
+        durationMs,
+      },
+    });
+    this.count(accepted, `status-${status}`);
+    if (!isFailure) this.options.crashes.completed(accepted.fingerprint);
+    if (isFailure && this.mayTryElsewhere(accepted, progress)) {
+      progress.mayHaveRun = true;
+      return AGAIN;
+    }
+    if (caller.isStarted) {
+      return ended({kind: 'broken-off', reason: `status ${status} on resume`});
+    }
+    this.noteFirstByte(accepted);
+    caller.whole(response, body);
+    return ended({kind: 'answered', status});
+  }
+
+  private async relayStream(
+    accepted: requests.Accepted,
+    caller: callers.CallerAnswer,
+    progress: Progress,
+    attempt: Attempt,
+    head: forwarding.upstream.AnswerHead,
+    signal: AbortSignal,
+    timer: NodeJS.Timeout,
+  ): Promise<StepResult> {
+    const {response} = head;
+    const isResumable = accepted.route.isResumable;
+    const framer = new forwarding.events.EventFramer();
+    let firstMs = 0;
+    let events = 0;
+    // Answers without a signature are none of the backend server's.
+    if (
+      response.headers[this.options.dialect.names.signature] === undefined
+    ) {
+      head.cancel();
+      const failure = brokenAnswer('no signature');
+      return this.failed(accepted, progress, attempt, failure, signal);
+    }
+    try {
+      for await (const chunk of response) {
+        const framed = framer.push(chunk as Buffer);
+        const bytes = isResumable ? framed.bytes : (chunk as Buffer);
+        if (isResumable) timer.refresh();
+        else clearTimeout(timer);
+        events += framed.count;
+        if (framed.lastId !== undefined) progress.lastEventId = framed.lastId;
+        if (bytes.length === 0) continue;
+        if (firstMs === 0) firstMs = this.nowMs;
+        progress.hasEvents = true;
+        if (!caller.isStarted) {
+          this.noteFirstByte(accepted);
+          caller.start(response);
+        }
+        if (!caller.write(bytes)) await caller.drained();
+      }
+      if (!response.complete) throw new Error('stream broke off');
+    } catch (error) {
+      head.cancel();
+      const detail = error instanceof Error ? error.message : String(error);
+      const failure = brokenAnswer(detail);
+      return this.failed(accepted, progress, attempt, failure, signal);
+    }
+    const rest = isResumable ? framer.rest : Buffer.alloc(0);
+    if (!caller.isStarted) caller.start(response);
+    if (rest.length > 0) caller.write(rest);
+    caller.end();
+    const nowMs = this.nowMs;
+    const firstTokenMs = (firstMs || nowMs) - attempt.sentMs;
+    const outputTokens = Math.max(
+      events,
+      accepted.demand?.likelyOutputTokens ?? 0,
+    );
+    const tokenMs = events > 1 ? (nowMs - firstMs) / events : 0;
+    this.observe(accepted, attempt, false, firstTokenMs, tokenMs);
+    this.options.slots.done(attempt.grant.ticketId, {
+      kind: 'completed',
+      measured: {
+        prefillTokens: accepted.demand?.promptTokens ?? 0,
+        outputTokens,
+        firstTokenMs,
+        durationMs: nowMs - attempt.sentMs,
+      },
+    });
+    this.options.crashes.completed(accepted.fingerprint);
+    this.count(accepted, 'ok');
+    return ended({kind: 'answered', status: OK});
+  }
+
+  /** A send brought no usable answer: frees the slot and decides whether the request goes elsewhere. */
+  private async failed(
+    accepted: requests.Accepted,
+    progress: Progress,
+    attempt: Attempt,
+    failure: forwarding.upstream.SendFailure,
+    signal: AbortSignal,
+  ): Promise<StepResult> {
+    const {slots, log, crashes} = this.options;
+    const {entry, grant} = attempt;
+    if (failure.verdict === 'may-have-run') progress.mayHaveRun = true;
+    log.event('send-failed', accepted.received.id, {
+      server: entry.id,
+      send: attempt.number,
+      cause: failure.cause,
+      verdict: failure.verdict,
+      detail: failure.detail,
+      afterMs: Math.round(this.nowMs - attempt.sentMs),
+    });
+    this.count(accepted, failure.cause);
+    if (signal.aborted) {
+      slots.done(grant.ticketId, {kind: 'cancelled'});
+      return this.overdue(progress);
+    }
+    this.observe(accepted, attempt, failure.verdict !== 'not-run', 0, 0);
+    const isBroken = failure.cause === 'reset' || failure.cause === 'broken-answer';
+    const hasCrashed = isBroken && (await isDown(entry.address));
+    if (hasCrashed) crashes.crashed(entry.id);
+    slots.done(grant.ticketId, OUTCOMES[failure.cause](hasCrashed));
+    if (failure.cause === 'wrong-server') {
+      this.options.directory.onServer(entry.id, undefined);
+    }
+    return AGAIN;
+  }
+
+  /** True when a request that was sent before may be sent once more, now. */
+  private mayRepeat(accepted: requests.Accepted, progress: Progress): boolean {
+    if (!this.mayTryElsewhere(accepted, progress)) return false;
+    return this.options.bounds.mayRepeat(accepted.service);
+  }
+
+  private mayTryElsewhere(
+    accepted: requests.Accepted,
+    progress: Progress,
+  ): boolean {
+    const {route, fingerprint} = accepted;
+    if (progress.sends >= MAX_SENDS) return false;
+    if (accepted.deadlineMs - this.nowMs < MIN_LEFT_MS) return false;
+    if (this.options.crashes.standing(fingerprint) === 'refused') return false;
+    if (!progress.mayHaveRun) return true;
+    if (progress.sends >= route.maxSends) return false;
+    if (route.repeatability === 'stream') return route.isResumable;
+    return route.repeatability === 'idempotent';
+  }
+
+  private gaveUp(
+    progress: Progress,
+    reason: string,
+    retryAfterMs = NO_SERVER_RETRY_MS,
+  ): StepResult {
+    if (progress.hasEvents) return ended({kind: 'broken-off', reason});
+    if (progress.mayHaveRun) return ended(requests.refusal(502, reason));
+    return ended(requests.refusal(503, reason, retryAfterMs));
+  }
+
+  private overdue(progress: Progress): StepResult {
+    const reason = 'deadline';
+    if (progress.hasEvents) return ended({kind: 'broken-off', reason});
+    const status = progress.mayHaveRun ? 504 : 503;
+    return ended(requests.refusal(status, reason));
+  }
+
+  private silenceMs(accepted: requests.Accepted, progress: Progress): number {
+    const {route} = accepted;
+    if (!this.couldGoElsewhere(accepted, progress)) return Infinity;
+    if (route.repeatability === 'stream') return STREAM_SILENCE_MS;
+    return Math.max(MIN_SILENCE_MS, route.objectiveMs * SILENCE_FACTOR);
+  }
+
+  private couldGoElsewhere(
+    accepted: requests.Accepted,
+    progress: Progress,
+  ): boolean {
+    return this.mayTryElsewhere(accepted, {...progress, mayHaveRun: true});
+  }
+
+  private observe(
+    accepted: requests.Accepted,
+    attempt: Attempt,
+    isFailure: boolean,
+    firstTokenMs: number,
+    tokenMs: number,
+  ): void {
+    this.options.rollouts.add(accepted.service, {
+      route: accepted.route.name,
+      isCandidate: attempt.isCandidate,
+      ...{isFailure, firstTokenMs, tokenMs},
+    });
+  }
+
+  private count(accepted: requests.Accepted, result: string): void {
+    this.options.metrics.sends.inc({service: accepted.service, result});
+  }
+
+  private noteFirstByte(accepted: requests.Accepted): void {
+    this.options.metrics.firstByteS.observe(
+      {route: accepted.route.name},
+      (this.nowMs - accepted.received.arrivedMs) / 1000,
+    );
+  }
+}
+
+const OUTCOMES: Readonly<
+  Record<
+    forwarding.upstream.FailureCause,
+    (hasCrashed: boolean) => decisions.runner.Outcome
+  >
+> = {
+  'connect-failed': () => ({kind: 'unreachable'}),
+  reset: hasCrashed => ({kind: hasCrashed ? 'crashed' : 'failed'}),
+  'broken-answer': hasCrashed => ({kind: hasCrashed ? 'crashed' : 'failed'}),
+  cancelled: () => ({kind: 'failed'}),
+  'timed-out': () => ({kind: 'failed'}),
+  'foreign-answer': () => ({kind: 'failed'}),
+  refused: () => ({kind: 'not-admitted', isLeaving: false}),
+  'wrong-server': () => ({kind: 'not-admitted', isLeaving: true}),
+};
+
+function ended(result: Ended): StepResult {
+  return {kind: 'ended', ended: result};
+}
+
+function brokenAnswer(detail: string): forwarding.upstream.SendFailure {
+  const cause = 'broken-answer';
+  const verdict = 'may-have-run';
+  return {kind: 'failed', cause, verdict, status: 0, load: undefined, detail};
+}
+
+/** Block hashes of a prompt's parts, as the guess of prefix caches takes them. */
+function chainOf(demand: requests.Demand | undefined): readonly number[] {
+  const chain: number[] = [];
+  for (const {id, tokens} of demand?.parts ?? []) {
+    const blocks = Math.floor(tokens / decisions.prefix.BLOCK_TOKENS);
+    for (let i = 0; i < blocks && chain.length < MAX_CHAIN; i++) {
+      const previous = chain[chain.length - 1] ?? 0;
+      chain.push(decisions.rendezvous.hash32(`${previous}:${id}`));
+    }
+  }
+  return chain;
+}
+
+/** Blocks of a prompt that are told to keepers at most. */
+const MAX_CHAIN = 64;
+
+/** True when nothing accepts connections at the address: what was running there has crashed. */
+function isDown(address: string): Promise<boolean> {
+  const [host, port] = address.split(':');
+  return new Promise(resolve => {
+    const socket = net.connect({host, port: Number(port)});
+    const settle = (isDead: boolean) => {
+      clearTimeout(timer);
+      socket.destroy();
+      resolve(isDead);
+    };
+    const timer = setTimeout(() => settle(false), CRASH_PROBE_MS);
+    socket.once('connect', () => settle(false));
+    socket.once('error', () => settle(true));
+  });
+}
--- /dev/null
+++ b/packages/gateway/src/host.ts
@@ -0,0 +1,535 @@
+import * as crypto from 'node:crypto';
+import * as http from 'node:http';
+import * as timers from 'node:timers/promises';
+
+import * as decisions from '@banyanhall/decisions';
+import * as crashesModule from '@banyanhall/fleet/crashes.js';
+import * as keepers from '@banyanhall/fleet/keeper.js';
+import * as membersModule from '@banyanhall/fleet/members.js';
+import * as routers from '@banyanhall/fleet/router.js';
+import * as slotsModule from '@banyanhall/fleet/slots.js';
+import * as timelines from '@banyanhall/fleet/timeline.js';
+import * as forwarding from '@banyanhall/forwarding';
+import * as peers from '@banyanhall/peers';
+import type * as platform from '@banyanhall/platform';
+import type * as routing from '@banyanhall/routing';
+
+import * as bounds from './bounds.js';
+import * as callers from './caller.js';
+import * as deliveries from './delivery.js';
+import * as directories from './directory.js';
+import * as logs from './logs.js';
+import * as metricsModule from './metrics.js';
+import * as requests from './request.js';
+import * as rollouts from './rollouts.js';
+
+const BACKLOG = 4096;
+/** How long an address answer may be kept, in milliseconds. */
+const ADDRESS_KEEP_MS = 2000;
+const MAX_ADDRESSES = 64;
+/** Hosts of the caller's own zone, or region, that are enough not to name others. */
+const ENOUGH_NEAR = 2;
+/** From the stop signal to closing the listeners: callers may hold an old address answer for as long. */
+const STOP_LISTEN_MS = 4500;
+/** The part of the grace period that is left unused at its end. */
+const STOP_MARGIN_MS = 700;
+const DRAIN_POLL_MS = 50;
+const MAX_HEADER_BYTES = 65_536;
+const DEFAULT_IDLE_MS = 15_000;
+/** Shared by the hosts of one deployment; it keeps strangers' links out by mistake, not by force. */
+const LINK_SECRET = 'banyanhall';
+
+/** An ip:port to listen on. */
+export type Address = string;
+
+/** What a host has to know before it starts. */
+export interface HostSettings {
+  readonly host: string;
+  readonly region: string;
+  readonly zone: string;
+  readonly regionByZone: ReadonlyMap<string, string>;
+  readonly callerAddress: Address;
+  readonly readinessAddress: Address;
+  readonly directoryAddress: Address;
+  readonly peerAddress: Address;
+  readonly metricsAddress: Address;
+  readonly metricsPath: string;
+  /** From the stop signal to the kill. */
+  readonly graceMs: number;
+  readonly bounds: bounds.BoundSettings;
+}
+
+/** How the requests to the other listeners are understood and answered; given by the adapter. */
+export interface Endpoints {
+  readonly isReadinessCheck: (path: string) => boolean;
+  /** The zone and region that an address question names; undefined when it is none. */
+  readonly addressQuestion: (
+    target: string,
+  ) => {readonly zone: string; readonly region: string} | undefined;
+  readonly addressAnswer: (
+    addresses: readonly Address[],
+    keepMs: number,
+  ) => string;
+  /** A configuration from its text; undefined when it can't be read. */
+  readonly decodeConfiguration: (
+    text: string,
+  ) => routing.configuration.Configuration | undefined;
+}
+
+/** What a host is put together from. */
+export interface HostOptions {
+  readonly settings: HostSettings;
+  readonly dialect: requests.Dialect;
+  readonly endpoints: Endpoints;
+  readonly table: platform.table.Table;
+  readonly log: logs.Log;
+  readonly metrics: metricsModule.Metrics;
+  readonly publishRollout: rollouts.RolloutsOptions['publish'];
+}
+
+/** One host of a fleet that serves a deployment: wires its parts together, starts and stops them. */
+export class Host {
+  readonly directory: directories.Directory;
+  readonly rollouts: rollouts.Rollouts;
+  private readonly clock = decisions.clock.systemClock;
+  private readonly random: decisions.random.Random;
+  private readonly links: peers.links.Links;
+  private readonly router: routers.Router;
+  private readonly members: membersModule.Members;
+  private readonly keeper: keepers.Keeper;
+  private readonly slots: slotsModule.Slots;
+  private readonly crashes: crashesModule.Crashes;
+  private readonly bounds: bounds.SharedBounds;
+  private readonly deliveries: deliveries.Deliveries;
+  private readonly upstream: forwarding.upstream.Upstream;
+  private readonly ingress: http.Server;
+  private readonly servers: http.Server[] = [];
+  private configurationText = '';
+  private inFlight = 0;
+  private isStopping = false;
+  private isReadyLogged = false;
+
+  constructor(private readonly options: HostOptions) {
+    const {settings, log, dialect, metrics} = options;
+    const {host, region, zone} = settings;
+    const {clock} = this;
+    this.random = decisions.random.seeded(
+      decisions.rendezvous.hash32(`${host}${clock.nowMs()}`),
+    );
+    const {random} = this;
+    const timeline = new timelines.Timeline(host, event => {
+      const logged = TIMELINE_EVENTS[event.kind as timelines.EventKind];
+      if (logged) log.event(logged, event.requestId, {...event.detail});
+    });
+    this.links = new peers.links.Links({
+      host,
+      secret: LINK_SECRET,
+      onItem: (from, item) => {
+        this.members.heard(from);
+        this.router.handle(from, item);
+      },
+      onDown: peer => {
+        this.members.linkDown(peer);
+        this.slots.onLinkDown(peer);
+      },
+    });
+    this.router = new routers.Router({
+      host,
+      links: this.links,
+      member: name => this.members.get(name),
+    });
+    const {router} = this;
+    this.directory = new directories.Directory({
+      ...{clock, log, regionByZone: settings.regionByZone},
+      onChange: () => this.keeper.onConfig(),
+    });
+    const {directory} = this;
+    const config = () => directory.config;
+    const serving = () => this.members.serving;
+    this.members = new membersModule.Members({
+      ...{table: options.table, router, timeline, clock, random},
+      self: {
+        ...{host, region, zone, incarnation: clock.nowMs()},
+        callerUrl: settings.callerAddress,
+        peerAddress: settings.peerAddress,
+        state: 'serving',
+      },
+      configNews: () => ({
+        configNumber: directory.configuration?.version ?? 0,
+        configAgeMs: 0,
+      }),
+      onConfigNews: (from, news) => this.onConfigNews(from, news),
+      onChange: () => this.slots.onMembers(),
+      onGone: gone => {
+        this.keeper.onGone(gone);
+        this.links.drop(gone);
+      },
+      onSilent: silent => this.links.drop(silent),
+    });
+    this.keeper = new keepers.Keeper({
+      ...{host, clock, router, timeline, config, serving},
+      hostList: {list: () => Promise.resolve([])},
+    });
+    this.slots = new slotsModule.Slots({
+      ...{host, region, zone, clock, router, timeline, config, serving},
+      chooseAlone: wanted => this.chooseAlone(wanted),
+    });
+    this.crashes = new crashesModule.Crashes({
+      ...{host, clock, router, timeline},
+      targets: except => this.members.targets(except),
+    });
+    this.bounds = new bounds.SharedBounds({
+      ...{clock, settings: settings.bounds},
+      otherHosts: () =>
+        serving()
+          .map(member => member.host)
+          .filter(name => name !== host),
+      send: (to, item) => router.send(to, item),
+    });
+    this.rollouts = new rollouts.Rollouts({
+      ...{host, clock, random, router, directory, log},
+      servingHosts: () => serving().map(member => member.host),
+      publish: options.publishRollout,
+    });
+    this.upstream = new forwarding.upstream.Upstream(dialect.names);
+    const {slots, crashes, upstream} = this;
+    this.deliveries = new deliveries.Deliveries({
+      ...{clock, dialect, directory, upstream, slots, crashes, log, metrics},
+      ...{bounds: this.bounds, rollouts: this.rollouts},
+    });
+    router.connect(this.handlers());
+    this.ingress = http.createServer(
+      {maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: 0, noDelay: true},
+      (request, response) => void this.onRequest(request, response),
+    );
+    this.ingress.keepAliveTimeout = DEFAULT_IDLE_MS;
+  }
+
+  /** True when this host knows a configuration and takes new work. */
+  get isReady(): boolean {
+    return !this.isStopping && this.directory.configuration !== undefined;
+  }
+
+  /** Starts listening; resolves when callers and other hosts can connect. */
+  async start(): Promise<void> {
+    const {settings, log} = this.options;
+    await this.links.listen(settings.peerAddress);
+    await Promise.all([
+      listen(this.ingress, settings.callerAddress),
+      this.serve(settings.readinessAddress, (target, response) => {
+        const isCheck = this.options.endpoints.isReadinessCheck(target);
+        end(response, isCheck ? (this.isReady ? 200 : 503) : 404, '');
+      }),
+      this.serve(settings.directoryAddress, (target, response) =>
+        this.answerAddresses(target, response),
+      ),
+      this.serve(settings.metricsAddress, (target, response) => {
+        if (target !== settings.metricsPath) return end(response, 404, '');
+        void this.metricsText().then(text => end(response, 200, text, 'text/plain'));
+      }),
+    ]);
+    for (const part of [this.keeper, this.slots, this.crashes, this.bounds]) {
+      part.start();
+    }
+    this.rollouts.start();
+    log.event('start', '', {
+      ...{zone: settings.zone, callerAddress: settings.callerAddress},
+      sinceProcessStartMs: Math.round(process.uptime() * 1000),
+    });
+    await this.members.start();
+  }
+
+  /** Takes in the text of a configuration, from the store or from another host. */
+  onConfigurationText(text: string, from: string): void {
+    const {endpoints, log} = this.options;
+    const next = endpoints.decodeConfiguration(text);
+    if (!next) {
+      log.event('bad-input', '', {what: 'configuration', from});
+      return;
+    }
+    if (!this.directory.onConfiguration(next)) return;
+    this.configurationText = text;
+    this.ingress.keepAliveTimeout = next.limits.idleTimeoutMs;
+    if (this.isReadyLogged) return;
+    this.isReadyLogged = true;
+    const sinceProcessStartMs = Math.round(process.uptime() * 1000);
+    log.event('ready', '', {from, sinceProcessStartMs});
+  }
+
+  /**
+   * Stops without cutting anything off: turns not ready, leaves the address
+   * answers, serves on while callers may hold an old one, then waits for what
+   * is in flight as long as the grace period allows.
+   */
+  async stop(): Promise<void> {
+    if (this.isStopping) return;
+    this.isStopping = true;
+    const startMs = this.clock.monotonicMs();
+    this.options.log.event('stop', '', {inFlight: this.inFlight});
+    void this.members.leave();
+    await timers.setTimeout(STOP_LISTEN_MS);
+    this.ingress.close();
+    this.ingress.closeIdleConnections();
+    const endMs = startMs + this.options.settings.graceMs - STOP_MARGIN_MS;
+    while (this.inFlight > 0 && this.clock.monotonicMs() < endMs) {
+      await timers.setTimeout(DRAIN_POLL_MS);
+    }
+    for (const server of this.servers) server.close();
+    for (const part of [this.keeper, this.slots, this.crashes, this.bounds]) {
+      part.stop();
+    }
+    this.rollouts.stop();
+    this.members.stop();
+    this.options.log.event('stopped', '', {inFlight: this.inFlight});
+    this.links.close();
+    this.upstream.close();
+  }
+
+  private handlers(): routers.MessageHandlers {
+    const {keeper, slots, members, crashes, rollouts: moves} = this;
+    return {
+      ask: (from, body) => keeper.onAsk(from, body),
+      withdraw: (from, body) => keeper.onWithdraw(from, body),
+      done: (from, body) => keeper.onDone(from, body),
+      hold: (from, body) => keeper.onHold(from, body),
+      grant: (from, body) => slots.onGrant(from, body),
+      refuse: (from, body) => slots.onRefuse(from, body),
+      queued: (from, body) => slots.onQueued(from, body),
+      probe: (from, body) => members.onProbe(from, body),
+      ack: (from, body) => members.onAck(from, body),
+      news: (from, body) => {
+        members.onNews(from, body.members);
+        crashes.onNews(from, body);
+      },
+      fetchChanges: from => {
+        const changes = [this.configurationText];
+        this.router.send(from, {kind: 'changes', body: {changes}});
+      },
+      changes: (from, body) => {
+        for (const text of body.changes) this.onConfigurationText(text, from);
+      },
+      usage: (from, body) => this.bounds.onUsage(from, body),
+      evidence: (_, body) => moves.onEvidence(body),
+      share: (_, body) => moves.onShare(body),
+      // Streams are never handed from host to host here: callers resume by themselves.
+      detach: () => undefined,
+    };
+  }
+
+  private onConfigNews(from: string, news: membersModule.ConfigNews): void {
+    const known = this.directory.configuration?.version ?? 0;
+    if (news.configNumber <= known) return;
+    const body = {afterNumber: known};
+    this.router.send(from, {kind: 'fetchChanges', body});
+  }
+
+  private async onRequest(
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+  ): Promise<void> {
+    const {dialect, log, metrics} = this.options;
+    const arrivedMs = this.clock.monotonicMs();
+    const {names} = dialect;
+    const id = forwarding.headers.value(request.headers, names.requestId) ?? '';
+    const caller = new callers.CallerAnswer(
+      response,
+      names.requestId,
+      id,
+      () => this.isStopping,
+    );
+    this.inFlight++;
+    let route = '';
+    let ended: deliveries.Ended;
+    try {
+      const body = await readBody(request);
+      if (!body) {
+        log.event('caller-left', id, {stage: 'reading'});
+        return;
+      }
+      const received = receivedOf(request, id, body, arrivedMs, names);
+      const checked = this.checked(received);
+      if (checked.kind === 'accepted') {
+        route = checked.route.name;
+        ended = await this.deliveries.run(checked, caller);
+        if (ended.kind === 'refusal' && ended.status === 503) {
+          this.bounds.refund(checked);
+        }
+      } else {
+        ended = checked;
+      }
+    } catch (error) {
+      const reason = error instanceof Error ? error.message : String(error);
+      log.event('error', id, {reason});
+      ended = {kind: 'refusal', status: 502, reason: 'internal', retryAfterMs: undefined};
+    } finally {
+      this.inFlight--;
+    }
+    if (ended.kind === 'refusal') {
+      if (caller.isStarted) caller.breakOff();
+      else caller.fail(ended);
+    } else if (ended.kind === 'broken-off') {
+      caller.breakOff();
+    }
+    const outcome = ended.kind === 'refusal' ? ended.reason : ended.kind;
+    metrics.requests.inc({route, outcome});
+    log.event(LOG_BY_END[ended.kind], id, {
+      route,
+      ...ended,
+      kind: undefined,
+      tookMs: Math.round(this.clock.monotonicMs() - arrivedMs),
+      version: this.directory.configuration?.version,
+      versionAgeMs: Math.round(this.directory.configurationAgeMs),
+    });
+  }
+
+  private checked(
+    received: requests.Received,
+  ): (requests.Accepted & {readonly kind: 'accepted'}) | requests.Refusal {
+    const accepted = requests.accept(
+      this.directory.configuration,
+      received,
+      this.options.dialect,
+      this.random(),
+      fingerprintOf,
+    );
+    if (accepted.kind === 'refusal') return accepted;
+    if (this.crashes.standing(accepted.fingerprint) === 'refused') {
+      this.options.log.event('suspect', received.id, {
+        fingerprint: accepted.fingerprint,
+      });
+      return requests.refusal(503, 'suspect-request');
+    }
+    return this.bounds.charge(accepted) ?? accepted;
+  }
+
+  /** The backend server with the fewest own requests; used while the keeper does not answer. */
+  private chooseAlone(
+    wanted: slotsModule.Wanted,
+  ): decisions.config.BackendServer | undefined {
+    const {region} = this.options.settings;
+    const scored = wanted.service.backendServers
+      .map(server => ({
+        server,
+        held: this.slots.heldOn(server.name) / server.maxRunning,
+        isFar: Number(server.region !== region),
+        roll: this.random(),
+      }))
+      .sort((a, b) => a.held - b.held || a.isFar - b.isFar || a.roll - b.roll);
+    return scored[0]?.server;
+  }
+
+  private answerAddresses(target: string, response: http.ServerResponse): void {
+    const {endpoints, settings} = this.options;
+    const question = endpoints.addressQuestion(target);
+    if (!question) return end(response, 404, '');
+    const serving = this.members.serving.filter(
+      member => member.host !== settings.host || !this.isStopping,
+    );
+    const near = serving.filter(m => m.zone === question.zone);
+    const nearby = serving.filter(m => m.region === question.region);
+    const chosen =
+      [near, nearby].find(some => some.length >= ENOUGH_NEAR) ?? serving;
+    const sample = decisions.random.sample(chosen, MAX_ADDRESSES, this.random);
+    const addresses = sample.map(member => member.callerUrl);
+    const body = endpoints.addressAnswer(addresses, ADDRESS_KEEP_MS);
+    end(response, 200, body, 'application/json');
+  }
+
+  private async metricsText(): Promise<string> {
+    const {metrics} = this.options;
+    metrics.gauge('in_flight', 'Requests in flight.', this.inFlight);
+    const version = this.directory.configuration?.version ?? 0;
+    metrics.gauge('configuration_version', 'Version in force.', version);
+    const hosts = this.members.serving.length;
+    metrics.gauge('serving_hosts', 'Hosts known to serve.', hosts);
+    const {connections} = this.upstream;
+    metrics.gauge('backend_connections', 'Connections opened.', connections);
+    return metrics.text();
+  }
+
+  private serve(
+    address: Address,
+    handle: (target: string, response: http.ServerResponse) => void,
+  ): Promise<void> {
+    const server = http.createServer((request, response) => {
+      request.resume();
+      handle(request.url ?? '', response);
+    });
+    this.servers.push(server);
+    return listen(server, address);
+  }
+}
+
+const TIMELINE_EVENTS: Readonly<
+  Partial<Record<timelines.EventKind, logs.LogEvent>>
+> = {
+  member: 'host',
+  keeper: 'host',
+  alone: 'host',
+  crash: 'suspect',
+};
+
+const LOG_BY_END: Readonly<Record<deliveries.Ended['kind'], logs.LogEvent>> = {
+  answered: 'answered',
+  'broken-off': 'broken',
+  'caller-left': 'caller-left',
+  refusal: 'refused',
+};
+
+function listen(server: http.Server, address: Address): Promise<void> {
+  const [host, port] = address.split(':');
+  return new Promise((resolve, reject) => {
+    server.once('error', reject);
+    server.listen({host, port: Number(port), backlog: BACKLOG}, resolve);
+  });
+}
+
+function end(
+  response: http.ServerResponse,
+  status: number,
+  body: string,
+  type = 'text/plain',
+): void {
+  response.writeHead(status, {
+    'Content-Type': type,
+    'Content-Length': Buffer.byteLength(body),
+  });
+  response.end(body);
+}
+
+/** The whole body of a request; undefined when the caller left before it was whole. */
+function readBody(request: http.IncomingMessage): Promise<Buffer | undefined> {
+  return new Promise(resolve => {
+    const chunks: Buffer[] = [];
+    request.on('data', (chunk: Buffer) => chunks.push(chunk));
+    request.on('end', () => resolve(Buffer.concat(chunks)));
+    request.on('error', () => resolve(undefined));
+    request.on('close', () => resolve(undefined));
+  });
+}
+
+function receivedOf(
+  request: http.IncomingMessage,
+  id: string,
+  body: Buffer,
+  arrivedMs: number,
+  names: forwarding.headers.HeaderNames,
+): requests.Received {
+  const patience = Number(
+    forwarding.headers.value(request.headers, names.remainingMs),
+  );
+  return {
+    ...{id, body, arrivedMs},
+    method: request.method ?? 'GET',
+    target: request.url ?? '/',
+    authority: request.headers.host ?? '',
+    headers: request.headers,
+    rawHeaders: request.rawHeaders,
+    patienceMs: patience > 0 ? patience : undefined,
+  };
+}
+
+function fingerprintOf(text: string, body: Buffer): string {
+  return crypto.createHash('sha1').update(text).update(body).digest('base64');
+}
+
--- /dev/null
+++ b/packages/gateway/src/logs.ts
@@ -0,0 +1,107 @@
+import pino from 'pino';
+
+/** Events that are logged, with the field that names each line. docs/LOGS.md explains them. */
+export type LogEvent =
+  | 'start'
+  | 'ready'
+  | 'stop'
+  | 'stopped'
+  | 'reload'
+  | 'dependency-lost'
+  | 'dependency-back'
+  | 'bad-input'
+  | 'configuration'
+  | 'server-listed'
+  | 'server-left'
+  | 'server-health'
+  | 'host'
+  | 'rollout'
+  | 'refused'
+  | 'sent'
+  | 'send-failed'
+  | 'resumed'
+  | 'answered'
+  | 'broken'
+  | 'failed'
+  | 'caller-left'
+  | 'suspect'
+  | 'suppressed'
+  | 'error';
+
+/** Details of a line; fields carry their unit as a suffix. */
+export type Fields = Readonly<
+  Record<string, string | number | boolean | undefined>
+>;
+
+/** Lines a second of each event; what is beyond is counted, not written. Routine events give way first. */
+const LINES_PER_S: Readonly<Partial<Record<LogEvent, number>>> = {
+  sent: 40,
+  answered: 40,
+  'caller-left': 40,
+};
+const DEFAULT_LINES_PER_S = 100;
+const SECOND_MS = 1000;
+/** Bytes that wait for a reader that stalls; beyond it lines are dropped. */
+const MAX_BUFFERED_BYTES = 1_000_000;
+
+/** The log of a host. */
+export interface Log {
+  event(event: LogEvent, requestId: string, fields?: Fields): void;
+}
+
+/** A log that writes nothing; for tests. */
+export const SILENT: Log = {event: () => undefined};
+
+/**
+ * JSON lines on a destination: one for each decision, bounded for each kind
+ * of event. Writing never blocks; what a slow reader leaves is dropped.
+ */
+export class JsonLog implements Log {
+  private readonly logger: pino.Logger;
+  private readonly written = new Map<LogEvent, number>();
+  private readonly suppressed = new Map<LogEvent, number>();
+  private secondStartMs = -Infinity;
+
+  constructor(
+    host: string,
+    private readonly nowMs: () => number,
+    destination: pino.DestinationStream = stdout(),
+  ) {
+    const options = {
+      base: {host},
+      timestamp: pino.stdTimeFunctions.epochTime,
+      formatters: {level: () => ({})},
+    };
+    this.logger = pino(options, destination);
+  }
+
+  event(event: LogEvent, requestId: string, fields: Fields = {}): void {
+    const nowMs = this.nowMs();
+    if (nowMs - this.secondStartMs >= SECOND_MS) this.startSecond(nowMs);
+    const count = this.written.get(event) ?? 0;
+    if (count >= (LINES_PER_S[event] ?? DEFAULT_LINES_PER_S)) {
+      this.suppressed.set(event, (this.suppressed.get(event) ?? 0) + 1);
+      return;
+    }
+    this.written.set(event, count + 1);
+    const line = requestId === '' ? fields : {requestId, ...fields};
+    this.logger.info({event, ...line});
+  }
+
+  private startSecond(nowMs: number): void {
+    this.secondStartMs = nowMs;
+    this.written.clear();
+    for (const [event, lines] of this.suppressed) {
+      this.logger.info({event: 'suppressed', of: event, lines});
+    }
+    this.suppressed.clear();
+  }
+}
+
+function stdout(): pino.DestinationStream {
+  return pino.destination({
+    dest: 1,
+    sync: false,
+    maxLength: MAX_BUFFERED_BYTES,
+  });
+}
--- /dev/null
+++ b/packages/gateway/src/metrics.ts
@@ -0,0 +1,85 @@
+import * as prom from 'prom-client';
+
+const WAIT_BUCKETS_S = [0.001, 0.005, 0.02, 0.1, 0.25, 0.5, 1, 2.5, 5, 10];
+
+/** Counters and histograms of a host, in the text format that collectors read. */
+export class Metrics {
+  private readonly registry = new prom.Registry();
+  readonly requests = this.counter(
+    'banyanhall_requests_total',
+    'Requests by route and outcome.',
+    ['route', 'outcome'],
+  );
+  readonly sends = this.counter(
+    'banyanhall_sends_total',
+    'Sends to backend servers by service and result.',
+    ['service', 'result'],
+  );
+  readonly repeats = this.counter(
+    'banyanhall_repeats_total',
+    'Sends beyond the first of a request, by service.',
+    ['service'],
+  );
+  readonly storeCalls = this.counter(
+    'banyanhall_store_calls_total',
+    'Calls to the store by call and result.',
+    ['call', 'result'],
+  );
+  readonly slotWaitS = this.histogram(
+    'banyanhall_slot_wait_seconds',
+    'Time from arrival to a slot on a backend server.',
+    ['service'],
+  );
+  readonly firstByteS = this.histogram(
+    'banyanhall_first_byte_seconds',
+    'Time from arrival to the first byte of the answer.',
+    ['route'],
+  );
+  private readonly gauges = new Map<string, prom.Gauge>();
+
+  /** Sets a level, such as the version of the configuration. */
+  gauge(name: string, help: string, value: number): void {
+    const known = this.gauges.get(name);
+    const gauge =
+      known ??
+      new prom.Gauge({
+        name: `banyanhall_${name}`,
+        help,
+        registers: [this.registry],
+      });
+    this.gauges.set(name, gauge);
+    gauge.set(value);
+  }
+
+  /** The exposition text. */
+  text(): Promise<string> {
+    return this.registry.metrics();
+  }
+
+  private counter(
+    name: string,
+    help: string,
+    labelNames: string[],
+  ): prom.Counter {
+    return new prom.Counter({
+      name,
+      help,
+      labelNames,
+      registers: [this.registry],
+    });
+  }
+
+  private histogram(
+    name: string,
+    help: string,
+    labelNames: string[],
+  ): prom.Histogram {
+    return new prom.Histogram({
+      name,
+      help,
+      labelNames,
+      buckets: WAIT_BUCKETS_S,
+      registers: [this.registry],
+    });
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/request.ts
@@ -0,0 +1,153 @@
+import type * as http from 'node:http';
+
+import type * as decisions from '@banyanhall/decisions';
+import * as forwarding from '@banyanhall/forwarding';
+import * as routing from '@banyanhall/routing';
+
+/** A part of a prompt that requests may share. */
+export interface PromptPart {
+  readonly id: string;
+  readonly tokens: number;
+}
+
+/** What a request asks of an engine. */
+export interface Demand {
+  readonly promptTokens: number;
+  /** The most that may be generated. */
+  readonly maxOutputTokens: number;
+  /** The length that is to be expected. */
+  readonly likelyOutputTokens: number;
+  readonly parts: readonly PromptPart[];
+}
+
+/** What callers' and backend servers' messages look like; given by the adapter. */
+export interface Dialect {
+  readonly names: forwarding.headers.HeaderNames;
+  /** The demand that the headers state; undefined for requests that state none. */
+  readonly demand: (headers: http.IncomingHttpHeaders) => Demand | undefined;
+}
+
+/** A request that was read from a caller; times on the monotonic clock. */
+export interface Received {
+  readonly id: string;
+  readonly method: string;
+  readonly target: string;
+  readonly authority: string;
+  readonly headers: http.IncomingHttpHeaders;
+  readonly rawHeaders: readonly string[];
+  readonly body: Buffer;
+  readonly arrivedMs: number;
+  /** How long the caller waits; undefined when it does not say. */
+  readonly patienceMs: number | undefined;
+}
+
+/** A request that the configuration allows. */
+export interface Accepted {
+  readonly received: Received;
+  readonly route: routing.configuration.Route;
+  readonly service: string;
+  readonly account: routing.configuration.Account | undefined;
+  readonly demand: Demand | undefined;
+  /** When the first of the caller's patience and the route's timeout ends. */
+  readonly deadlineMs: number;
+  /** Identifies a request that comes again: same account, path and body. */
+  readonly fingerprint: string;
+}
+
+/** A refusal by this host; the request has not run. */
+export interface Refusal {
+  readonly kind: 'refusal';
+  readonly status: number;
+  readonly reason: string;
+  readonly retryAfterMs: number | undefined;
+}
+
+/** Builds a refusal. */
+export function refusal(
+  status: number,
+  reason: string,
+  retryAfterMs?: number,
+): Refusal {
+  return {kind: 'refusal', status, reason, retryAfterMs};
+}
+
+/** How soon a host that knows no configuration yet may be asked again. */
+const NOT_READY_RETRY_MS = 300;
+
+/** Checks a request against the configuration in force. */
+export function accept(
+  configuration: routing.configuration.Configuration | undefined,
+  received: Received,
+  dialect: Dialect,
+  roll: number,
+  fingerprintOf: (text: string, body: Buffer) => string,
+): (Accepted & {readonly kind: 'accepted'}) | Refusal {
+  if (!configuration) {
+    return refusal(503, 'no-configuration', NOT_READY_RETRY_MS);
+  }
+  const [path] = received.target.split('?', 1);
+  const route = configuration.route(received.authority, path);
+  if (!route) return refusal(404, 'no-route');
+  const {names} = dialect;
+  const key = forwarding.headers.value(received.headers, names.key);
+  const needsKey = configuration.fields.needsKeys && !route.isPublic;
+  const account = key === undefined ? undefined : configuration.account(key);
+  if (needsKey && !account) return refusal(401, 'unknown-key');
+  const service = routing.configuration.pickSplit(route.splits, roll);
+  const patienceMs = received.patienceMs ?? route.timeoutMs;
+  const demand = dialect.demand(received.headers);
+  const text = `${account?.name ?? ''} ${received.method} ${received.target}`;
+  return {
+    kind: 'accepted',
+    ...{received, route, service, account, demand},
+    deadlineMs: received.arrivedMs + Math.min(patienceMs, route.timeoutMs),
+    fingerprint: fingerprintOf(text, received.body),
+  };
+}
+
+/** The tokens that a request counts as against its account's limit. */
+export function chargedTokens(
+  account: routing.configuration.Account,
+  demand: Demand | undefined,
+): number {
+  if (!demand) return account.plainTokens;
+  return demand.promptTokens + demand.maxOutputTokens;
+}
+
+/** The tier of a request: the account's priority goes before the route's. */
+export function tierOf(accepted: Accepted): decisions.config.Tier {
+  const priority = accepted.account?.priority ?? accepted.route.priority;
+  return Math.min(3, Math.max(1, priority + 1)) as decisions.config.Tier;
+}
+
+/** The headers that a request leaves with. */
+export function outboundHeaders(
+  accepted: Accepted,
+  dialect: Dialect,
+  set: Readonly<Record<string, string>>,
+): readonly string[] {
+  const {names} = dialect;
+  const {received} = accepted;
+  const dropped = new Set([
+    names.key,
+    names.account,
+    names.remainingMs,
+    names.expectedServer,
+    'content-length',
+    ...names.reserved,
+    ...Object.keys(set),
+  ]);
+  const headers = forwarding.headers.endToEnd(
+    received.rawHeaders,
+    received.headers,
+    dropped,
+  );
+  const hasBody =
+    received.body.length > 0 ||
+    received.headers['content-length'] !== undefined ||
+    received.headers['transfer-encoding'] !== undefined;
+  if (hasBody) headers.push('Content-Length', String(received.body.length));
+  if (accepted.account) headers.push(names.account, accepted.account.name);
+  for (const [name, value] of Object.entries(set)) headers.push(name, value);
+  return headers;
+}
--- a/packages/peers/src/messages.ts
+++ b/packages/peers/src/messages.ts
@@ -31,6 +31,8 @@
   readonly detach: Full<peer.banyanhall.peer.Detach.$Properties>;
   readonly evidence: Full<peer.banyanhall.peer.Evidence.$Properties>;
   readonly share: Full<peer.banyanhall.peer.Share.$Properties>;
+  readonly queued: Full<peer.banyanhall.peer.Queued.$Properties>;
+  readonly usage: Full<peer.banyanhall.peer.Usage.$Properties>;
 }
 
 /** The name of a kind of message. */
--- /dev/null
+++ b/packages/routing/src/index.ts
@@ -0,0 +1,2 @@
+export * as configuration from './configuration.js';
+export * as usage from './usage.js';
