--- /dev/null
+++ b/packages/forwarding/src/upstream.test.ts
@@ -0,0 +1,162 @@
+import * as assert from 'node:assert/strict';
+import * as net from 'node:net';
+import {test} from 'node:test';
+
+import type * as headers from './headers.js';
+import * as upstreams from './upstream.js';
+
+const NAMES: headers.HeaderNames = {
+  requestId: 'x-id',
+  key: 'x-key',
+  account: 'x-account',
+  remainingMs: 'x-left',
+  expectedServer: 'x-server',
+  serverId: 'x-server-id',
+  signature: 'x-signature',
+  notRun: 'x-not-run',
+  load: 'x-load',
+  lastEventId: 'last-event-id',
+  reserved: [],
+};
+
+type Script = (socket: net.Socket, requests: number) => void;
+
+/** Runs `check` against a server that answers each request on a connection by `script`. */
+async function against(
+  script: Script,
+  check: (
+    send: (id: string) => Promise<upstreams.Sent>,
+    server: net.Server,
+  ) => Promise<void>,
+): Promise<void> {
+  const server = net.createServer(socket => {
+    let requests = 0;
+    socket.on('data', () => script(socket, ++requests));
+    socket.on('error', () => undefined);
+  });
+  await new Promise<void>(resolve => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  const {port} = server.address() as net.AddressInfo;
+  const upstream = new upstreams.Upstream(NAMES);
+  const send = (id: string) =>
+    upstream.send(
+      {
+        address: `127.0.0.1:${port}`,
+        method: 'GET',
+        path: '/',
+        headers: ['Host', 'test', 'X-Id', id],
+        body: Buffer.alloc(0),
+        requestId: id,
+      },
+      new AbortController().signal,
+    );
+  try {
+    await check(send, server);
+  } finally {
+    upstream.close();
+    server.close();
+  }
+}
+
+function answered(sent: upstreams.Sent): upstreams.AnswerHead {
+  assert.equal(sent.kind, 'answer');
+  return sent as upstreams.AnswerHead;
+}
+
+function failed(sent: upstreams.Sent): upstreams.SendFailure {
+  assert.equal(sent.kind, 'failed');
+  return sent as upstreams.SendFailure;
+}
+
+test('a body without a length that ends with its connection is whole', () =>
+  against(
+    socket => socket.end('HTTP/1.1 200 OK\r\nX-Id: a\r\n\r\nwhole'),
+    async send => {
+      const body = await upstreams.wholeBody(answered(await send('a')));
+      assert.equal(body?.toString(), 'whole');
+    },
+  ));
+
+test('a body without a length that ends with a reset is not whole', () =>
+  against(
+    socket => {
+      socket.write('HTTP/1.1 200 OK\r\nX-Id: a\r\n\r\npart');
+      setTimeout(() => socket.resetAndDestroy(), 20);
+    },
+    async send => {
+      const body = await upstreams.wholeBody(answered(await send('a')));
+      assert.equal(body, undefined);
+    },
+  ));
+
+test('a body that is shorter than its length is not whole', () =>
+  against(
+    socket =>
+      socket.end('HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length: 9\r\n\r\npart'),
+    async send => {
+      const body = await upstreams.wholeBody(answered(await send('a')));
+      assert.equal(body, undefined);
+    },
+  ));
+
+test('an answer with the id of another request is no answer', () =>
+  against(
+    socket =>
+      socket.write('HTTP/1.1 200 OK\r\nX-Id: b\r\nContent-Length: 0\r\n\r\n'),
+    async send => {
+      const {cause, verdict} = failed(await send('a'));
+      assert.deepEqual({cause, verdict}, {
+        cause: 'foreign-answer',
+        verdict: 'may-have-run',
+      });
+    },
+  ));
+
+test('a second answer on a kept connection is not taken for the next one', () =>
+  against(
+    (socket, requests) => {
+      const id = requests === 1 ? 'a' : 'b';
+      const one = `HTTP/1.1 200 OK\r\nX-Id: ${id}\r\nContent-Length: 2\r\n\r\n${id}!`;
+      socket.write(requests === 1 ? one : one);
+      if (requests === 1) setTimeout(() => socket.write(one), 10);
+    },
+    async send => {
+      const first = await upstreams.wholeBody(answered(await send('a')));
+      assert.equal(first?.toString(), 'a!');
+      await new Promise(resolve => setTimeout(resolve, 50));
+      const second = await send('b');
+      if (second.kind === 'failed') {
+        assert.equal(second.verdict, 'may-have-run');
+        return;
+      }
+      assert.equal((await upstreams.wholeBody(second))?.toString(), 'b!');
+    },
+  ));
+
+test('an answer that says not run proves it', () =>
+  against(
+    socket =>
+      socket.write(
+        'HTTP/1.1 503 Busy\r\nX-Id: a\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n',
+      ),
+    async send => {
+      const {cause, verdict} = failed(await send('a'));
+      assert.deepEqual({cause, verdict}, {cause: 'refused', verdict: 'not-run'});
+    },
+  ));
+
+test('a reset before an answer proves nothing', () =>
+  against(
+    socket => socket.resetAndDestroy(),
+    async send => assert.equal(failed(await send('a')).verdict, 'may-have-run'),
+  ));
+
+test('a refused connection proves not run', () =>
+  against(
+    () => undefined,
+    async (send, server) => {
+      await new Promise(resolve => server.close(resolve));
+      assert.equal(failed(await send('a')).verdict, 'not-run');
+    },
+  ));
--- a/packages/forwarding/src/upstream.ts
+++ b/packages/forwarding/src/upstream.ts
@@ -58,6 +58,8 @@
   readonly kind: 'answer';
   readonly response: http.IncomingMessage;
   readonly load: LoadReport | undefined;
+  /** True once the body has ended whole; one that ends with a reset connection has not. */
+  readonly isWhole: () => boolean;
   /** Ends the send; the backend server sees the connection close. */
   readonly cancel: () => void;
 }
@@ -105,6 +107,11 @@
       });
       let isConnected = false;
       let isTimedOut = false;
+      let isReset = false;
+      // The HTTP parser takes a reset for the end of a body without a length.
+      const onSocketError = () => {
+        isReset = true;
+      };
       const cancel = () => request.destroy();
       const timer = setTimeout(() => {
         if (isConnected) return;
@@ -120,6 +127,10 @@
       };
       request.on('socket', socket => {
         socket.setNoDelay(true);
+        socket.once('error', onSocketError);
+        request.once('close', () =>
+          socket.removeListener('error', onSocketError),
+        );
         if (!socket.connecting) {
           isConnected = true;
           return;
@@ -133,7 +144,8 @@
         response.on('close', () =>
           signal.removeEventListener('abort', cancel),
         );
-        const head = this.judged(outbound, request, response);
+        const isWhole = () => response.complete && !isReset;
+        const head = this.judged(outbound, request, response, isWhole);
         if (head.kind === 'failed') response.resume();
         settle(head);
       });
@@ -161,6 +173,7 @@
     outbound: Outbound,
     request: http.ClientRequest,
     response: http.IncomingMessage,
+    isWhole: () => boolean,
   ): Sent {
     const {names} = this;
     const id = headerNames.value(response.headers, names.requestId);
@@ -188,7 +201,8 @@
       const detail = `answer with content encoding ${encoding}`;
       return this.failure('broken-answer', 'may-have-run', detail);
     }
-    return {kind: 'answer', response, load, cancel: () => request.destroy()};
+    const cancel = () => request.destroy();
+    return {kind: 'answer', response, load, isWhole, cancel};
   }
 
   private failure(
@@ -201,9 +215,10 @@
 }
 
 /** Reads the whole body of an answer; undefined when it broke off or is too long. */
-export function wholeBody(
-  response: http.IncomingMessage,
-): Promise<Buffer | undefined> {
+export function wholeBody({
+  response,
+  isWhole,
+}: AnswerHead): Promise<Buffer | undefined> {
   return new Promise(resolve => {
     const chunks: Buffer[] = [];
     let bytes = 0;
@@ -213,7 +228,7 @@
       else chunks.push(chunk);
     });
     response.on('end', () =>
-      resolve(response.complete ? Buffer.concat(chunks) : undefined),
+      resolve(isWhole() ? Buffer.concat(chunks) : undefined),
     );
     response.on('error', () => resolve(undefined));
     response.on('close', () => resolve(undefined));
--- a/packages/gateway/src/delivery.ts
+++ b/packages/gateway/src/delivery.ts
@@ -289,7 +289,7 @@
   ): Promise<StepResult> {
     const {response} = head;
     const status = response.statusCode ?? 0;
-    const body = await forwarding.upstream.wholeBody(response);
+    const body = await forwarding.upstream.wholeBody(head);
     const isSuccess = status >= OK && status < 300;
     const isSigned =
       response.headers[this.options.dialect.names.signature] !== undefined;
@@ -363,7 +363,7 @@
         }
         if (!caller.write(bytes)) await caller.drained();
       }
-      if (!response.complete) throw new Error('stream broke off');
+      if (!head.isWhole()) throw new Error('stream broke off');
     } catch (error) {
       head.cancel();
       const detail = error instanceof Error ? error.message : String(error);
