Limits of accounts as shared token buckets; waits end when the caller would leave

Ruled out: load of the hosts (0.14 of a core at most). Changes: token buckets fed by the totals of the other hosts; tickets carry the latest useful and the latest timely first token; keepers take over their cells before the first ask; failures and silence count against a runner.

--- a/packages/decisions/src/cell.test.ts
+++ b/packages/decisions/src/cell.test.ts
@@ -27,6 +27,7 @@
   id: string,
   change: Partial<tickets.Ticket> = {},
 ): tickets.Ticket {
+  const {deadlineMs = 60_000} = change;
   return {
     id,
     host: 'h1',
@@ -34,7 +35,9 @@
     account: 'a',
     weight: 1,
     tier: 2,
-    deadlineMs: 60_000,
+    deadlineMs,
+    firstByMs: deadlineMs,
+    onTimeByMs: deadlineMs,
     arrivedMs: 0,
     promptTokens: 100,
     outputTokens: 100,
--- a/packages/decisions/src/cell.ts
+++ b/packages/decisions/src/cell.ts
@@ -10,7 +10,7 @@
 export const MAX_WAITING = 512;
 
 /** How long a new keeper collects what hosts are running before it grants, in milliseconds. */
-export const RECOVERY_MS = 1000;
+export const RECOVERY_MS = 400;
 
 /** How long lower tiers stay shut out after a higher tier was shed, in milliseconds. */
 export const CUTOFF_MS = 1000;
@@ -144,15 +144,14 @@
     if (estimate.usable(ticket, nowMs).length === 0) {
       return this.refuse(ticket, 'no-runner', NO_RUNNER_RETRY_MS);
     }
-    const fastestMs = estimate.fastestMs(ticket, nowMs);
-    if (nowMs + fastestMs > ticket.deadlineMs) {
+    if (!estimate.canStart(ticket, 0, nowMs)) {
       return this.refuse(ticket, 'deadline', 0);
     }
     if (this.isCutOff(ticket.tier, nowMs)) {
       return this.refuse(ticket, 'overloaded', CUTOFF_MS);
     }
     const waitMs = estimate.waitMs(ticket, nowMs);
-    if (nowMs + waitMs + fastestMs > ticket.deadlineMs) {
+    if (!estimate.canStart(ticket, waitMs, nowMs)) {
       return this.shed(ticket, waitMs, nowMs);
     }
     const joined = this.with({waiting: [...this.fields.waiting, ticket]});
@@ -312,8 +311,7 @@
         effects.push(...refused.effects);
         continue;
       }
-      if (nowMs + cell.estimate.fastestMs(ticket, nowMs) <= ticket.deadlineMs)
-        continue;
+      if (cell.estimate.canStart(ticket, 0, nowMs)) continue;
       const applied = cell.withoutWaiting(ticket.id).shed(ticket, 0, nowMs);
       cell = applied.cell;
       effects.push(...applied.effects);
@@ -365,7 +363,7 @@
     const effects: events.CellEffect[] = [];
     // Later tickets see the runners as earlier grants left them.
     let cell = this.with({});
-    for (const ticket of rank.ordered(this.waiting, usage)) {
+    for (const ticket of rank.ordered(this.waiting, usage, nowMs)) {
       if (blocked.size >= this.fields.runners.size) break;
       const runner = fit.best(cell.runners, ticket, blocked, nowMs);
       if (!runner) {
--- a/packages/decisions/src/estimate.ts
+++ b/packages/decisions/src/estimate.ts
@@ -22,6 +22,13 @@
     return Math.min(...usable.map(r => r.expectedMs(ticket)));
   }
 
+  /** True when a ticket that starts after `waitMs` is still answered in time by some runner. */
+  canStart(ticket: tickets.Ticket, waitMs: number, nowMs: number): boolean {
+    return this.usable(ticket, nowMs).some(r =>
+      r.isInTime(ticket, nowMs + waitMs),
+    );
+  }
+
   /** The expected wait: work ahead of the ticket divided by the budget of the runners it may use. */
   waitMs(ticket: tickets.Ticket, nowMs: number): number {
     const usable = this.usable(ticket, nowMs);
--- a/packages/decisions/src/fit.ts
+++ b/packages/decisions/src/fit.ts
@@ -4,13 +4,8 @@
 /** What an answer over a paid-for link between regions counts as, in milliseconds of waiting. */
 const LINK_COST_MS = 100;
 
-function isInTime(
-  runner: runners.Runner,
-  ticket: tickets.Ticket,
-  nowMs: number,
-): boolean {
-  return nowMs + runner.expectedMs(ticket) <= ticket.deadlineMs;
-}
+/** How many times its expected time a runner counts as when everything fails on it. */
+const FAULT_WEIGHT = 6;
 
 /** The runner that a ticket is best granted on now, out of those that are not kept for others. */
 export function best(
@@ -24,9 +19,10 @@
   for (const runner of all) {
     if (blocked.has(runner.name) || !runner.serves(ticket)) continue;
     if (!runner.fits(ticket, nowMs)) continue;
-    if (!isInTime(runner, ticket, nowMs)) continue;
+    if (!runner.isInTime(ticket, nowMs)) continue;
     const linkMs = runner.server.region === ticket.region ? 0 : LINK_COST_MS;
-    const scoreMs = runner.expectedMs(ticket) * (1 + runner.load) + linkMs;
+    const costMs = runner.expectedMs(ticket) * (1 + runner.load) + linkMs;
+    const scoreMs = costMs * (1 + FAULT_WEIGHT * runner.faultRate);
     if (scoreMs >= foundMs) continue;
     found = runner;
     foundMs = scoreMs;
@@ -41,7 +37,7 @@
   nowMs: number,
 ): readonly string[] {
   const able = all.filter(
-    runner => runner.serves(ticket) && isInTime(runner, ticket, nowMs),
+    runner => runner.serves(ticket) && runner.isInTime(ticket, nowMs),
   );
   if (!ticket.isSuspect) return able.map(runner => runner.name);
   const [emptiest] = [...able].sort((a, b) => a.running - b.running);
--- a/packages/decisions/src/rank.ts
+++ b/packages/decisions/src/rank.ts
@@ -87,10 +87,15 @@
   return `${tier}/${account}`;
 }
 
-/** Orders waiting tickets: tier, then accounts under their fair share, then deadline, then arrival. */
+/**
+ * Orders waiting tickets: tier, then accounts under their fair share, then
+ * those that can still be on time, then the time by which they have to be,
+ * then arrival.
+ */
 export function ordered(
   waiting: readonly tickets.Ticket[],
   usage: Usage,
+  nowMs: number,
 ): readonly tickets.Ticket[] {
   const over = new Map<string, boolean>();
   const isOver = (ticket: tickets.Ticket): boolean => {
@@ -106,7 +111,8 @@
     (a, b) =>
       a.tier - b.tier ||
       Number(isOver(a)) - Number(isOver(b)) ||
-      a.deadlineMs - b.deadlineMs ||
+      Number(nowMs > a.onTimeByMs) - Number(nowMs > b.onTimeByMs) ||
+      a.onTimeByMs - b.onTimeByMs ||
       a.arrivedMs - b.arrivedMs ||
       (a.id < b.id ? -1 : 1),
   );
--- a/packages/decisions/src/runner.ts
+++ b/packages/decisions/src/runner.ts
@@ -6,6 +6,7 @@
 const FIRST_BACKOFF_MS = 500;
 const MAX_BACKOFF_MS = 10_000;
 const LEAVING_STICKS_MS = 5000;
+const FAULT_SMOOTHING = 0.15;
 
 /** What happened to a request that was granted a slot. */
 export type Outcome =
@@ -14,6 +15,7 @@
   | {readonly kind: 'not-admitted'; readonly isLeaving: boolean}
   | {readonly kind: 'unreachable'}
   | {readonly kind: 'crashed'}
+  | {readonly kind: 'silent'}
   | {readonly kind: 'failed'};
 
 /** Whether a runner takes new work; `down` is retried after a backoff. */
@@ -38,6 +40,8 @@
   readonly usedTokens: number;
   readonly running: number;
   readonly hasSuspect: boolean;
+  /** The share of recent requests that failed on it, the latest ones counting most. */
+  readonly faultRate: number;
 }
 
 type OutcomeHandlers = {
@@ -72,6 +76,7 @@
       usedTokens: 0,
       running: 0,
       hasSuspect: false,
+      faultRate: 0,
     });
   }
 
@@ -108,6 +113,11 @@
     );
   }
 
+  /** The share of recent requests that failed, from 0 to 1. */
+  get faultRate(): number {
+    return this.fields.faultRate;
+  }
+
   /** True when the runner may take new work at `nowMs`; a runner that is down takes one request as a probe. */
   isOpen(nowMs: number): boolean {
     const {state, retryAtMs, running} = this.fields;
@@ -152,6 +162,21 @@
     return pace.expectedMs(this.fields.pace, prefill, ticket.outputTokens);
   }
 
+  /** The expected time from dispatch to the first token, in milliseconds. */
+  expectedFirstMs(ticket: tickets.Ticket): number {
+    const cached = this.fields.cached.cachedTokens(ticket.chain);
+    const prefill = Math.max(0, ticket.promptTokens - cached);
+    return pace.expectedMs(this.fields.pace, prefill, 0);
+  }
+
+  /** True when the ticket's first token and its end are still expected in time. */
+  isInTime(ticket: tickets.Ticket, nowMs: number): boolean {
+    return (
+      nowMs + this.expectedMs(ticket) <= ticket.deadlineMs &&
+      nowMs + this.expectedFirstMs(ticket) <= ticket.firstByMs
+    );
+  }
+
   /** The runner with the ticket in a slot. */
   occupy(ticket: tickets.Ticket): Runner {
     const {usedTokens, running, cached, server} = this.fields;
@@ -224,6 +249,13 @@
     });
   }
 
+  /** The runner after a request failed on it, or did not. */
+  noted(isFault: boolean): Runner {
+    const {faultRate} = this.fields;
+    const change = FAULT_SMOOTHING * (Number(isFault) - faultRate);
+    return this.with({faultRate: faultRate + change});
+  }
+
   /** The runner after a request completed on it. */
   succeeded(measured: pace.Measured): Runner {
     return this.with({
@@ -235,11 +267,13 @@
 }
 
 const OUTCOME_HANDLERS: OutcomeHandlers = {
-  completed: (runner, outcome) => runner.succeeded(outcome.measured),
+  completed: (runner, outcome) =>
+    runner.succeeded(outcome.measured).noted(false),
   cancelled: runner => runner,
   'not-admitted': (runner, outcome, nowMs) =>
     outcome.isLeaving ? runner.signalled(true, nowMs) : runner.failed(nowMs),
   unreachable: (runner, _, nowMs) => runner.failed(nowMs),
   crashed: (runner, _, nowMs) => runner.failed(nowMs),
-  failed: runner => runner,
+  silent: (runner, _, nowMs) => runner.failed(nowMs).noted(true),
+  failed: runner => runner.noted(true),
 };
--- a/packages/decisions/src/ticket.ts
+++ b/packages/decisions/src/ticket.ts
@@ -10,6 +10,10 @@
   readonly weight: number;
   readonly tier: config.Tier;
   readonly deadlineMs: number;
+  /** The latest first token that the caller waits for. */
+  readonly firstByMs: number;
+  /** The latest first token that is on time; a later one is worth less to the caller. */
+  readonly onTimeByMs: number;
   readonly arrivedMs: number;
   readonly promptTokens: number;
   readonly outputTokens: number;
--- a/packages/fleet/src/keeper.ts
+++ b/packages/fleet/src/keeper.ts
@@ -221,6 +221,8 @@
       host,
       tier: wire.tier as decisions.config.Tier,
       deadlineMs: nowMs + wire.remainingMs,
+      firstByMs: nowMs + wire.firstWithinMs,
+      onTimeByMs: nowMs + wire.onTimeWithinMs,
       arrivedMs: nowMs,
     };
   }
@@ -228,6 +230,7 @@
   private tick(): void {
     const nowMs = this.options.clock.monotonicMs();
     const members = this.options.serving();
+    this.keepOwn(members);
     for (const [name, kept] of this.cells) {
       const {cell} = kept;
       if (cell.waiting.length > 0 || cell.running.length > 0) {
@@ -244,6 +247,18 @@
     }
   }
 
+  /** Takes over the cells that are this host's to keep before the first ask, so that none waits for it. */
+  private keepOwn(members: readonly decisions.membership.Member[]): void {
+    for (const service of this.options.config().list('service')) {
+      for (const key of decisions.cells.cellsOf(service)) {
+        const name = decisions.cells.cellName(key);
+        if (this.cells.has(name)) continue;
+        const owner = decisions.cells.keeper(key, members);
+        if (owner === this.options.host) this.kept(name);
+      }
+    }
+  }
+
   private async poll(): Promise<void> {
     if (this.cells.size === 0) return;
     await this.options.hostList.list().then(
--- a/packages/fleet/src/slots.ts
+++ b/packages/fleet/src/slots.ts
@@ -23,6 +23,10 @@
   readonly account: decisions.config.Account;
   readonly tier: decisions.config.Tier;
   readonly deadlineMs: number;
+  /** The latest first token that the caller waits for; the deadline when it is not given. */
+  readonly firstByMs?: number;
+  /** The latest first token that is on time; the deadline when it is not given. */
+  readonly onTimeByMs?: number;
   readonly promptTokens: number;
   readonly outputTokens: number;
   readonly chain: readonly number[];
@@ -413,6 +417,12 @@
       weight: wanted.account.weight,
       tier: wanted.tier,
       remainingMs: Math.round(wanted.deadlineMs - nowMs),
+      firstWithinMs: Math.round(
+        (wanted.firstByMs ?? wanted.deadlineMs) - nowMs,
+      ),
+      onTimeWithinMs: Math.round(
+        (wanted.onTimeByMs ?? wanted.deadlineMs) - nowMs,
+      ),
       promptTokens: wanted.promptTokens,
       outputTokens: wanted.outputTokens,
       chain: wanted.chain,
--- a/packages/gateway/src/bounds.ts
+++ b/packages/gateway/src/bounds.ts
@@ -8,7 +8,6 @@
 const ACCOUNT_MARK = 'account/';
 const FIRST_MARK = 'first/';
 const REPEAT_MARK = 'repeat/';
-const MS_PER_S = 1000;
 /** The part of the repeats that is used; the rest covers what hosts admit between two reports. */
 const REPEAT_MARGIN = 0.5;
 /** The part of a stated tolerance that an account's use may enter; the rest covers the lag of reports. */
@@ -18,7 +17,6 @@
 
 /** Bounds on sums over all hosts, as the deployment states them. */
 export interface BoundSettings {
-  readonly allowanceWindowMs: number;
   /** Tokens over an account's limit that a window may hold. */
   readonly allowanceToleranceTokens: number;
   readonly repeatShare: number;
@@ -36,17 +34,13 @@
 
 /** The sums that all hosts share: tokens by account, first sends and repeats by service. */
 export class SharedBounds {
-  private readonly tokens: routing.usage.SharedUsage;
+  private readonly tokens = new routing.usage.SharedBuckets();
   private readonly sends: routing.usage.SharedUsage;
   private timer: NodeJS.Timeout | undefined;
 
   constructor(private readonly options: BoundsOptions) {
     const {settings, clock} = options;
     const nowMs = clock.monotonicMs();
-    this.tokens = new routing.usage.SharedUsage(
-      settings.allowanceWindowMs,
-      nowMs,
-    );
     this.sends = new routing.usage.SharedUsage(settings.repeatWindowMs, nowMs);
   }
 
@@ -64,22 +58,18 @@
   charge(accepted: requests.Accepted): requests.Refusal | undefined {
     const {account, demand} = accepted;
     if (!account || account.tokensPerS === 0) return undefined;
-    const {settings} = this.options;
-    const {allowanceWindowMs, allowanceToleranceTokens} = settings;
-    const limit =
-      (account.tokensPerS * allowanceWindowMs) / MS_PER_S +
-      account.burstTokens +
-      allowanceToleranceTokens * TOLERANCE_MARGIN;
+    const {settings, otherHosts} = this.options;
+    const {allowanceToleranceTokens} = settings;
+    const rate = {
+      perS: account.tokensPerS,
+      burst: account.burstTokens + allowanceToleranceTokens * TOLERANCE_MARGIN,
+    };
     const tokens = requests.chargedTokens(account, demand);
     const key = ACCOUNT_MARK + account.name;
-    const hosts = this.options.otherHosts();
-    const nowMs = this.nowMs;
-    if (this.tokens.fits(key, tokens, limit, hosts, nowMs)) {
-      this.tokens.use(key, tokens, nowMs);
+    if (this.tokens.take(key, tokens, rate, otherHosts(), this.nowMs)) {
       return undefined;
     }
-    const over = this.tokens.used(key, limit, hosts, nowMs) + tokens - limit;
-    const waitMs = (Math.max(0, over) / account.tokensPerS) * MS_PER_S;
+    const waitMs = this.tokens.waitMs(key, tokens, rate);
     const retryMs = Math.min(MAX_RETRY_MS, Math.max(MIN_RETRY_MS, waitMs));
     return requests.refusal(429, 'account-limit', retryMs);
   }
@@ -88,7 +78,7 @@
   refund({account, demand}: requests.Accepted): void {
     if (!account || account.tokensPerS === 0) return;
     const tokens = requests.chargedTokens(account, demand);
-    this.tokens.use(ACCOUNT_MARK + account.name, -tokens, this.nowMs);
+    this.tokens.giveBack(ACCOUNT_MARK + account.name, tokens);
   }
 
   /** Notes the first send of a request. */
@@ -126,7 +116,7 @@
   private report(): void {
     const nowMs = this.nowMs;
     const entries = [
-      ...this.tokens.report(nowMs),
+      ...this.tokens.ownTotals,
       ...this.sends.report(nowMs),
     ].map(([key, amount]) => ({key, amount}));
     for (const host of this.options.otherHosts()) {
--- a/packages/gateway/src/delivery.ts
+++ b/packages/gateway/src/delivery.ts
@@ -22,6 +22,8 @@
 const MIN_SILENCE_MS = 300;
 /** The time before the deadline that a second send needs to be worth it. */
 const MIN_LEFT_MS = 60;
+/** A send without a first byte for this long counts against the backend server even if the caller left. */
+const SILENT_MS = 1100;
 const CRASH_PROBE_MS = 250;
 const OK = 200;
 const SERVER_ERROR = 500;
@@ -176,6 +178,8 @@
       },
       tier: requests.tierOf(accepted),
       deadlineMs,
+      firstByMs: Math.min(deadlineMs, accepted.firstByMs),
+      onTimeByMs: Math.min(deadlineMs, accepted.onTimeByMs),
       promptTokens: demand?.promptTokens ?? 0,
       outputTokens:
         demand?.likelyOutputTokens ?? directories.PLAIN_OUTPUT_TOKENS,
@@ -301,15 +305,16 @@
     const durationMs = this.nowMs - attempt.sentMs;
     const isFailure = status >= SERVER_ERROR;
     this.observe(accepted, attempt, isFailure, durationMs, 0);
-    this.options.slots.done(attempt.grant.ticketId, {
-      kind: 'completed',
-      measured: {
-        prefillTokens: 0,
-        outputTokens: isFailure ? 0 : directories.PLAIN_OUTPUT_TOKENS,
-        firstTokenMs: 0,
-        durationMs,
-      },
-    });
+    const measured = {
+      prefillTokens: 0,
+      outputTokens: directories.PLAIN_OUTPUT_TOKENS,
+      firstTokenMs: 0,
+      durationMs,
+    };
+    this.options.slots.done(
+      attempt.grant.ticketId,
+      isFailure ? {kind: 'failed'} : {kind: 'completed', measured},
+    );
     this.count(accepted, `status-${status}`);
     if (!isFailure) this.options.crashes.completed(accepted.fingerprint);
     if (isFailure && this.mayTryElsewhere(accepted, progress)) {
@@ -417,7 +422,9 @@
     });
     this.count(accepted, failure.cause);
     if (signal.aborted) {
-      slots.done(grant.ticketId, {kind: 'cancelled'});
+      const isSilent = this.nowMs - attempt.sentMs >= SILENT_MS;
+      const kind = isSilent && !progress.hasEvents ? 'silent' : 'cancelled';
+      slots.done(grant.ticketId, {kind});
       return this.overdue(progress);
     }
     this.observe(accepted, attempt, failure.verdict !== 'not-run', 0, 0);
@@ -517,7 +524,8 @@
   'connect-failed': () => ({kind: 'unreachable'}),
   reset: hasCrashed => ({kind: hasCrashed ? 'crashed' : 'failed'}),
   'broken-answer': hasCrashed => ({kind: hasCrashed ? 'crashed' : 'failed'}),
-  cancelled: () => ({kind: 'failed'}),
+  // The caller still waits: this host ended the send because nothing came.
+  cancelled: () => ({kind: 'silent'}),
   'timed-out': () => ({kind: 'failed'}),
   'foreign-answer': () => ({kind: 'failed'}),
   refused: () => ({kind: 'not-admitted', isLeaving: false}),
--- a/packages/gateway/src/host.ts
+++ b/packages/gateway/src/host.ts
@@ -141,7 +141,10 @@
     const {router} = this;
     this.directory = new directories.Directory({
       ...{clock, log, regionByZone: settings.regionByZone},
-      onChange: () => this.keeper.onConfig(),
+      onChange: () => {
+        this.keeper.onConfig();
+        this.slots.onMembers();
+      },
     });
     const {directory} = this;
     const config = () => directory.config;
--- a/packages/gateway/src/request.ts
+++ b/packages/gateway/src/request.ts
@@ -50,6 +50,10 @@
   readonly demand: Demand | undefined;
   /** When the first of the caller's patience and the route's timeout ends. */
   readonly deadlineMs: number;
+  /** When the caller leaves if nothing has come. */
+  readonly firstByMs: number;
+  /** The latest first byte that is on time. */
+  readonly onTimeByMs: number;
   /** Identifies a request that comes again: same account, path and body. */
   readonly fingerprint: string;
 }
@@ -101,6 +105,9 @@
     kind: 'accepted',
     ...{received, route, service, account, demand},
     deadlineMs: received.arrivedMs + Math.min(patienceMs, route.timeoutMs),
+    firstByMs:
+      received.arrivedMs + Math.min(patienceMs, route.firstPatienceMs),
+    onTimeByMs: received.arrivedMs + route.objectiveMs,
     fingerprint: fingerprintOf(text, received.body),
   };
 }
--- a/packages/peers/src/messages.test.ts
+++ b/packages/peers/src/messages.test.ts
@@ -15,6 +15,8 @@
   version: '',
   isSuspect: false,
   region: '',
+  firstWithinMs: 0,
+  onTimeWithinMs: 0,
 };
 
 test.test('zero and empty fields survive the wire', () => {
--- a/packages/routing/src/configuration.ts
+++ b/packages/routing/src/configuration.ts
@@ -20,6 +20,8 @@
   readonly timeoutMs: number;
   /** The time to the first byte or event within which an answer is on time. */
   readonly objectiveMs: number;
+  /** How long callers wait for the first event of a stream, and between events, before they leave. */
+  readonly firstPatienceMs: number;
   /** 0 is the most urgent. */
   readonly priority: number;
   /** Backend servers that one request may be sent to at most. */
--- a/packages/routing/src/usage.ts
+++ b/packages/routing/src/usage.ts
@@ -134,3 +134,113 @@
     return own + amount <= (share * (limit - unseen)) / limit;
   }
 }
+
+/** A limit on a rate: `perS` on average, with bursts of `burst`. */
+export interface Rate {
+  readonly perS: number;
+  readonly burst: number;
+}
+
+interface Level {
+  tokens: number;
+  atMs: number;
+}
+
+const MS_PER_S = 1000;
+/** Totals only grow, so that a lower one shows a new start; what is put back has a total of its own. */
+const RETURNED_MARK = 'returned/';
+
+/**
+ * Token buckets that all hosts share, one a key. Each host keeps its own copy
+ * of a bucket, takes its own use out at once and that of the others as they
+ * report their totals.
+ *
+ * Invariant: hosts that hear each other admit no more than the rate and the
+ * burst, plus what they admit between two reports. A host refills at the part
+ * of the rate that belongs to the hosts it hears, itself included.
+ */
+export class SharedBuckets {
+  private readonly levels = new Map<string, Level>();
+  private readonly totals = new Map<string, number>();
+  private readonly seen = new Map<string, Report>();
+
+  /** What this host used since its start, by key. */
+  get ownTotals(): ReadonlyMap<string, number> {
+    return this.totals;
+  }
+
+  /** Takes `amount` out of a bucket when it holds as much. */
+  take(
+    key: string,
+    amount: number,
+    rate: Rate,
+    hosts: readonly string[],
+    nowMs: number,
+  ): boolean {
+    const level = this.refilled(key, rate, hosts, nowMs);
+    if (level.tokens < amount) return false;
+    this.use(key, amount, level);
+    return true;
+  }
+
+  /** Puts back what was not used after all. */
+  giveBack(key: string, amount: number): void {
+    const level = this.levels.get(key);
+    if (!level) return;
+    level.tokens += amount;
+    this.count(RETURNED_MARK + key, amount);
+  }
+
+  /** How long until a bucket holds `amount`, in milliseconds. */
+  waitMs(key: string, amount: number, rate: Rate): number {
+    const missing = amount - (this.levels.get(key)?.tokens ?? 0);
+    return (Math.max(0, missing) / rate.perS) * MS_PER_S;
+  }
+
+  /** Takes in the totals of another host; lower ones than before come from a new start of it. */
+  onReport(report: Report): void {
+    const before = this.seen.get(report.host)?.amounts;
+    for (const [name, total] of report.amounts) {
+      const known = before?.get(name) ?? (before ? 0 : total);
+      const delta = total >= known ? total - known : total;
+      const isReturn = name.startsWith(RETURNED_MARK);
+      const key = isReturn ? name.slice(RETURNED_MARK.length) : name;
+      const level = this.levels.get(key);
+      if (level) level.tokens += isReturn ? delta : -delta;
+    }
+    this.seen.set(report.host, report);
+  }
+
+  private use(key: string, amount: number, level: Level): void {
+    level.tokens -= amount;
+    this.count(key, amount);
+  }
+
+  private count(name: string, amount: number): void {
+    this.totals.set(name, (this.totals.get(name) ?? 0) + amount);
+  }
+
+  private refilled(
+    key: string,
+    rate: Rate,
+    hosts: readonly string[],
+    nowMs: number,
+  ): Level {
+    const known = this.levels.get(key);
+    if (!known) {
+      // What was used before this host's first sight of the key is not known.
+      const level = {tokens: rate.burst / 2, atMs: nowMs};
+      this.levels.set(key, level);
+      return level;
+    }
+    const heard = hosts.filter(host => {
+      const report = this.seen.get(host);
+      return report && nowMs - report.atMs <= REPORT_TTL_MS;
+    });
+    const part = (heard.length + 1) / (hosts.length + 1);
+    const gained = (rate.perS * part * (nowMs - known.atMs)) / MS_PER_S;
+    known.tokens = Math.min(rate.burst, known.tokens + gained);
+    known.atMs = nowMs;
+    return known;
+  }
+}
