--- a/packages/gateway/src/delivery.ts
+++ b/packages/gateway/src/delivery.ts
@@ -176,7 +176,7 @@
         maxInFlight: Infinity,
         weight: Math.max(1, account?.tokensPerS ?? 1),
       },
-      tier: requests.tierOf(accepted),
+      tier: accepted.tier,
       deadlineMs,
       firstByMs: Math.min(deadlineMs, accepted.firstByMs),
       onTimeByMs: Math.min(deadlineMs, accepted.onTimeByMs),
--- a/packages/gateway/src/directory.ts
+++ b/packages/gateway/src/directory.ts
@@ -112,7 +112,9 @@
     this.options.log.event('configuration', '', {
       version: next.version,
       routes: next.fields.routes.length,
-      accounts: next.fields.accounts.length,
+      accounts: next.fields.accounts
+        .map(({name, priority, tokensPerS}) => `${name}:${priority}:${tokensPerS}`)
+        .join(' '),
       isFirst,
     });
     this.rebuild();
--- a/packages/gateway/src/logs.ts
+++ b/packages/gateway/src/logs.ts
@@ -70,7 +70,7 @@
     const options = {
       base: {host},
       timestamp: pino.stdTimeFunctions.epochTime,
-      formatters: {level: () => ({})},
+      formatters: {level: (level: string) => ({level})},
     };
     this.logger = pino(options, destination);
   }
--- a/packages/gateway/src/request.ts
+++ b/packages/gateway/src/request.ts
@@ -48,6 +48,7 @@
   readonly service: string;
   readonly account: routing.configuration.Account | undefined;
   readonly demand: Demand | undefined;
+  readonly tier: decisions.config.Tier;
   /** When the first of the caller's patience and the route's timeout ends. */
   readonly deadlineMs: number;
   /** When the caller leaves if nothing has come. */
@@ -100,10 +101,14 @@
   const service = routing.configuration.pickSplit(route.splits, roll);
   const patienceMs = received.patienceMs ?? route.timeoutMs;
   const demand = dialect.demand(received.headers);
+  const accountPriority = configuration.ranksAccounts
+    ? account?.priority
+    : undefined;
   const text = `${account?.name ?? ''} ${received.method} ${received.target}`;
   return {
     kind: 'accepted',
     ...{received, route, service, account, demand},
+    tier: tierOf(accountPriority ?? route.priority),
     deadlineMs: received.arrivedMs + Math.min(patienceMs, route.timeoutMs),
     firstByMs:
       received.arrivedMs + Math.min(patienceMs, route.firstPatienceMs),
@@ -121,9 +126,8 @@
   return demand.promptTokens + demand.maxOutputTokens;
 }
 
-/** The tier of a request: the account's priority goes before the route's. */
-export function tierOf(accepted: Accepted): decisions.config.Tier {
-  const priority = accepted.account?.priority ?? accepted.route.priority;
+/** The tier that goes with a priority, 0 being the most urgent. */
+function tierOf(priority: number): decisions.config.Tier {
   return Math.min(3, Math.max(1, priority + 1)) as decisions.config.Tier;
 }
 
--- a/packages/routing/src/configuration.ts
+++ b/packages/routing/src/configuration.ts
@@ -44,7 +44,7 @@
 export interface Account {
   readonly name: string;
   readonly keys: readonly string[];
-  /** Goes before the priority of the route when it is given. */
+  /** Goes before the priority of the route; equal ones leave it to the route. */
   readonly priority: number | undefined;
   /** 0 means no limit. */
   readonly tokensPerS: number;
@@ -77,6 +77,8 @@
   private readonly routesByAuthority = new Map<string, Route[]>();
   private readonly accountsByKey = new Map<string, Account>();
   private readonly servicesByName: ReadonlyMap<string, ServiceTerms>;
+  /** True when accounts differ in priority; otherwise that of the route decides. */
+  readonly ranksAccounts: boolean;
 
   constructor(readonly fields: ConfigurationFields) {
     for (const route of fields.routes) {
@@ -91,6 +93,8 @@
     for (const account of fields.accounts) {
       for (const key of account.keys) this.accountsByKey.set(key, account);
     }
+    const priorities = new Set(fields.accounts.map(a => a.priority));
+    this.ranksAccounts = priorities.size > 1;
     this.servicesByName = new Map(fields.services.map(s => [s.name, s]));
   }
 
