--- a/packages/gateway/src/bounds.ts
+++ b/packages/gateway/src/bounds.ts
@@ -11,7 +11,7 @@
 /** The part of the repeats that is used; the rest covers what hosts admit between two reports. */
 const REPEAT_MARGIN = 0.5;
 /** The part of a stated tolerance that an account's use may enter; the rest covers the lag of reports. */
-const TOLERANCE_MARGIN = 0.25;
+const TOLERANCE_MARGIN = 0.5;
 const MIN_RETRY_MS = 500;
 const MAX_RETRY_MS = 4000;
 
