--- a/eslint.config.js
+++ b/eslint.config.js
@@ -8,7 +8,9 @@
   {
     files: ['packages/*/src/**/*.ts', 'platform/src/**/*.ts'],
     languageOptions: {
-      parserOptions: {project: ['packages/*/tsconfig.json', 'platform/tsconfig.json']},
+      parserOptions: {
+        project: ['packages/*/tsconfig.json', 'platform/tsconfig.json'],
+      },
     },
     rules: {
       'no-restricted-syntax': [
--- a/packages/fleet/src/keeper.ts
+++ b/packages/fleet/src/keeper.ts
@@ -62,9 +62,7 @@
 
   /** Starts the timers for deadlines and load reports. */
   start(): void {
-    this.timers.push(
-      setInterval(() => this.tick(), TICK_MS),
-    );
+    this.timers.push(setInterval(() => this.tick(), TICK_MS));
     if (!this.options.backends) return;
     this.timers.push(setInterval(() => void this.poll(), POLL_MS));
   }
--- a/packages/forwarding/src/upstream.test.ts
+++ b/packages/forwarding/src/upstream.test.ts
@@ -1,6 +1,6 @@
 import * as assert from 'node:assert/strict';
 import * as net from 'node:net';
-import {test} from 'node:test';
+import * as test from 'node:test';
 
 import type * as headers from './headers.js';
 import * as upstreams from './upstream.js';
@@ -69,16 +69,19 @@
   return sent as upstreams.SendFailure;
 }
 
-test('a body without a length that ends with its connection is whole', () =>
-  against(
-    socket => socket.end('HTTP/1.1 200 OK\r\nX-Id: a\r\n\r\nwhole'),
-    async send => {
-      const body = await upstreams.wholeBody(answered(await send('a')));
-      assert.equal(body?.toString(), 'whole');
-    },
-  ));
+test.test(
+  'a body without a length that ends with its connection is whole',
+  () =>
+    against(
+      socket => socket.end('HTTP/1.1 200 OK\r\nX-Id: a\r\n\r\nwhole'),
+      async send => {
+        const body = await upstreams.wholeBody(answered(await send('a')));
+        assert.equal(body?.toString(), 'whole');
+      },
+    ),
+);
 
-test('a body without a length that ends with a reset is not whole', () =>
+test.test('a body without a length that ends with a reset is not whole', () =>
   against(
     socket => {
       socket.write('HTTP/1.1 200 OK\r\nX-Id: a\r\n\r\npart');
@@ -88,9 +91,10 @@
       const body = await upstreams.wholeBody(answered(await send('a')));
       assert.equal(body, undefined);
     },
-  ));
+  ),
+);
 
-test('a body that is shorter than its length is not whole', () =>
+test.test('a body that is shorter than its length is not whole', () =>
   against(
     socket =>
       socket.end('HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length: 9\r\n\r\npart'),
@@ -98,43 +102,51 @@
       const body = await upstreams.wholeBody(answered(await send('a')));
       assert.equal(body, undefined);
     },
-  ));
+  ),
+);
 
-test('an answer with the id of another request is no answer', () =>
+test.test('an answer with the id of another request is no answer', () =>
   against(
     socket =>
       socket.write('HTTP/1.1 200 OK\r\nX-Id: b\r\nContent-Length: 0\r\n\r\n'),
     async send => {
       const {cause, verdict} = failed(await send('a'));
-      assert.deepEqual({cause, verdict}, {
-        cause: 'foreign-answer',
-        verdict: 'may-have-run',
-      });
+      assert.deepEqual(
+        {cause, verdict},
+        {
+          cause: 'foreign-answer',
+          verdict: 'may-have-run',
+        },
+      );
     },
-  ));
+  ),
+);
 
-test('a second answer on a kept connection is not taken for the next one', () =>
-  against(
-    (socket, requests) => {
-      const id = requests === 1 ? 'a' : 'b';
-      const one = `HTTP/1.1 200 OK\r\nX-Id: ${id}\r\nContent-Length: 2\r\n\r\n${id}!`;
-      socket.write(requests === 1 ? one : one);
-      if (requests === 1) setTimeout(() => socket.write(one), 10);
-    },
-    async send => {
-      const first = await upstreams.wholeBody(answered(await send('a')));
-      assert.equal(first?.toString(), 'a!');
-      await new Promise(resolve => setTimeout(resolve, 50));
-      const second = await send('b');
-      if (second.kind === 'failed') {
-        assert.equal(second.verdict, 'may-have-run');
-        return;
-      }
-      assert.equal((await upstreams.wholeBody(second))?.toString(), 'b!');
-    },
-  ));
+test.test(
+  'a second answer on a kept connection is not taken for the next one',
+  () =>
+    against(
+      (socket, requests) => {
+        const id = requests === 1 ? 'a' : 'b';
+        const one = `HTTP/1.1 200 OK\r\nX-Id: ${id}\r\nContent-Length: 2\r\n\r\n${id}!`;
+        socket.write(one);
+        if (requests === 1) setTimeout(() => socket.write(one), 10);
+      },
+      async send => {
+        const first = await upstreams.wholeBody(answered(await send('a')));
+        assert.equal(first?.toString(), 'a!');
+        await new Promise(resolve => setTimeout(resolve, 50));
+        const second = await send('b');
+        if (second.kind === 'failed') {
+          assert.equal(second.verdict, 'may-have-run');
+          return;
+        }
+        assert.equal((await upstreams.wholeBody(second))?.toString(), 'b!');
+      },
+    ),
+);
 
-test('an answer that says not run proves it', () =>
+test.test('an answer that says not run proves it', () =>
   against(
     socket =>
       socket.write(
@@ -142,21 +154,27 @@
       ),
     async send => {
       const {cause, verdict} = failed(await send('a'));
-      assert.deepEqual({cause, verdict}, {cause: 'refused', verdict: 'not-run'});
+      assert.deepEqual(
+        {cause, verdict},
+        {cause: 'refused', verdict: 'not-run'},
+      );
     },
-  ));
+  ),
+);
 
-test('a reset before an answer proves nothing', () =>
+test.test('a reset before an answer proves nothing', () =>
   against(
     socket => socket.resetAndDestroy(),
     async send => assert.equal(failed(await send('a')).verdict, 'may-have-run'),
-  ));
+  ),
+);
 
-test('a refused connection proves not run', () =>
+test.test('a refused connection proves not run', () =>
   against(
     () => undefined,
     async (send, server) => {
       await new Promise(resolve => server.close(resolve));
       assert.equal(failed(await send('a')).verdict, 'not-run');
     },
-  ));
+  ),
+);
--- a/packages/forwarding/src/upstream.ts
+++ b/packages/forwarding/src/upstream.ts
@@ -121,8 +121,7 @@
       signal.addEventListener('abort', cancel, {once: true});
       const settle = (sent: Sent) => {
         clearTimeout(timer);
-        if (sent.kind === 'failed')
-          signal.removeEventListener('abort', cancel);
+        if (sent.kind === 'failed') signal.removeEventListener('abort', cancel);
         resolve(sent);
       };
       request.on('socket', socket => {
@@ -141,9 +140,7 @@
         });
       });
       request.on('response', response => {
-        response.on('close', () =>
-          signal.removeEventListener('abort', cancel),
-        );
+        response.on('close', () => signal.removeEventListener('abort', cancel));
         const isWhole = () => response.complete && !isReset;
         const head = this.judged(outbound, request, response, isWhole);
         if (head.kind === 'failed') response.resume();
--- a/packages/gateway/src/bounds.ts
+++ b/packages/gateway/src/bounds.ts
@@ -115,10 +115,9 @@
 
   private report(): void {
     const nowMs = this.nowMs;
-    const entries = [
-      ...this.tokens.ownTotals,
-      ...this.sends.report(nowMs),
-    ].map(([key, amount]) => ({key, amount}));
+    const entries = [...this.tokens.ownTotals, ...this.sends.report(nowMs)].map(
+      ([key, amount]) => ({key, amount}),
+    );
     for (const host of this.options.otherHosts()) {
       this.options.send(host, {kind: 'usage', body: {entries}});
     }
--- a/packages/gateway/src/delivery.ts
+++ b/packages/gateway/src/delivery.ts
@@ -277,7 +277,15 @@
       type.includes('event-stream');
     if (isStream) {
       return this.relayStream(
-        ...[accepted, caller, progress, attempt, head, signal, timer] as const,
+        ...([
+          accepted,
+          caller,
+          progress,
+          attempt,
+          head,
+          signal,
+          timer,
+        ] as const),
       );
     }
     return this.relayWhole(accepted, caller, progress, attempt, head, signal);
@@ -344,9 +352,7 @@
     let firstMs = 0;
     let events = 0;
     // Answers without a signature are none of the backend server's.
-    if (
-      response.headers[this.options.dialect.names.signature] === undefined
-    ) {
+    if (response.headers[this.options.dialect.names.signature] === undefined) {
       head.cancel();
       const failure = brokenAnswer('no signature');
       return this.failed(accepted, progress, attempt, failure, signal);
@@ -428,7 +434,8 @@
       return this.overdue(progress);
     }
     this.observe(accepted, attempt, failure.verdict !== 'not-run', 0, 0);
-    const isBroken = failure.cause === 'reset' || failure.cause === 'broken-answer';
+    const isBroken =
+      failure.cause === 'reset' || failure.cause === 'broken-answer';
     const hasCrashed = isBroken && (await isDown(entry.address));
     if (hasCrashed) crashes.crashed(entry.id);
     slots.done(grant.ticketId, OUTCOMES[failure.cause](hasCrashed));
--- a/packages/gateway/src/directory.ts
+++ b/packages/gateway/src/directory.ts
@@ -113,7 +113,9 @@
       version: next.version,
       routes: next.fields.routes.length,
       accounts: next.fields.accounts
-        .map(({name, priority, tokensPerS}) => `${name}:${priority}:${tokensPerS}`)
+        .map(
+          ({name, priority, tokensPerS}) => `${name}:${priority}:${tokensPerS}`,
+        )
         .join(' '),
       isFirst,
     });
--- a/packages/gateway/src/host.ts
+++ b/packages/gateway/src/host.ts
@@ -228,7 +228,9 @@
       ),
       this.serve(settings.metricsAddress, (target, response) => {
         if (target !== settings.metricsPath) return end(response, 404, '');
-        void this.metricsText().then(text => end(response, 200, text, 'text/plain'));
+        void this.metricsText().then(text =>
+          end(response, 200, text, 'text/plain'),
+        );
       }),
     ]);
     for (const part of [this.keeper, this.slots, this.crashes, this.bounds]) {
@@ -363,7 +365,12 @@
     } catch (error) {
       const reason = error instanceof Error ? error.message : String(error);
       log.event('error', id, {reason});
-      ended = {kind: 'refusal', status: 502, reason: 'internal', retryAfterMs: undefined};
+      ended = {
+        kind: 'refusal',
+        status: 502,
+        reason: 'internal',
+        retryAfterMs: undefined,
+      };
     } finally {
       this.inFlight--;
     }
@@ -535,4 +542,3 @@
 function fingerprintOf(text: string, body: Buffer): string {
   return crypto.createHash('sha1').update(text).update(body).digest('base64');
 }
-
--- a/packages/gateway/src/request.ts
+++ b/packages/gateway/src/request.ts
@@ -110,8 +110,7 @@
     ...{received, route, service, account, demand},
     tier: tierOf(accountPriority ?? route.priority),
     deadlineMs: received.arrivedMs + Math.min(patienceMs, route.timeoutMs),
-    firstByMs:
-      received.arrivedMs + Math.min(patienceMs, route.firstPatienceMs),
+    firstByMs: received.arrivedMs + Math.min(patienceMs, route.firstPatienceMs),
     onTimeByMs: received.arrivedMs + route.objectiveMs,
     fingerprint: fingerprintOf(text, received.body),
   };
--- a/packages/routing/src/usage.ts
+++ b/packages/routing/src/usage.ts
@@ -65,7 +65,8 @@
  * Invariant: a host admits only while its own use plus that of the others
  * stays within the limit. A host whose report is old counts with its equal
  * share of the limit; a host that hears nobody keeps to its own equal share.
- * Worst case: the limit plus what all hosts admit between two reports.
+ * Worst case: twice the limit, when every host falls back on its share, plus
+ * what all hosts admit between two reports.
  */
 export class SharedUsage {
   private readonly own: SlidingCounts;
