--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -1,6 +1,7 @@
 import * as clipanion from 'clipanion';
 
 import * as changes from './changes.js';
+import * as stories from './story.js';
 import * as watching from './watching.js';
 
 const VERSION = '0.1.0';
@@ -14,6 +15,7 @@
   changes.ShowCommand,
   changes.DiffCommand,
   changes.RollbackCommand,
+  stories.StoryCommand,
   watching.StatusCommand,
   watching.TimelineCommand,
   watching.MoveStartCommand,
--- a/packages/decisions/src/cell.test.ts
+++ b/packages/decisions/src/cell.test.ts
@@ -44,6 +44,7 @@
     chain: [],
     version: '',
     isSuspect: false,
+    avoid: [],
     ...change,
   };
 }
@@ -65,6 +66,12 @@
     .map(effect => effect.ticket.id);
 }
 
+function runnersOf(applied: cells.Applied): readonly string[] {
+  return applied.effects.flatMap(effect =>
+    effect.kind === 'grant' ? [effect.server.name] : [],
+  );
+}
+
 function refusals(applied: cells.Applied): readonly string[] {
   return applied.effects
     .filter(effect => effect.kind === 'refuse')
@@ -83,6 +90,15 @@
   return cell.apply({kind: 'done', ticketId, outcome}, nowMs);
 }
 
+test.test('a request that failed on a runner is granted on another one', () => {
+  const cell = cellWith(server('s1'), server('s2'));
+  const again = cell.apply(ask(ticket('t', {avoid: ['s1']})), 0);
+  assert.deepEqual(runnersOf(again), ['s2']);
+  const alone = cellWith(server('s1'));
+  const only = alone.apply(ask(ticket('t', {avoid: ['s1']})), 0);
+  assert.deepEqual(runnersOf(only), ['s1']);
+});
+
 test.test('a ticket that fits is granted at once', () => {
   const applied = cellWith(server('s1')).apply(ask(ticket('t1')), 0);
   assert.deepEqual(grants(applied), ['t1']);
--- a/packages/decisions/src/fit.ts
+++ b/packages/decisions/src/fit.ts
@@ -7,6 +7,9 @@
 /** How many times its expected time a runner counts as when everything fails on it. */
 const FAULT_WEIGHT = 6;
 
+/** What a runner that failed the request before counts as, in milliseconds of waiting. */
+const AVOID_COST_MS = 60_000;
+
 /** The runner that a ticket is best granted on now, out of those that are not kept for others. */
 export function best(
   all: readonly runners.Runner[],
@@ -22,7 +25,8 @@
     if (!runner.isInTime(ticket, nowMs)) continue;
     const linkMs = runner.server.region === ticket.region ? 0 : LINK_COST_MS;
     const costMs = runner.expectedMs(ticket) * (1 + runner.load) + linkMs;
-    const scoreMs = costMs * (1 + FAULT_WEIGHT * runner.faultRate);
+    const avoidMs = ticket.avoid.includes(runner.name) ? AVOID_COST_MS : 0;
+    const scoreMs = costMs * (1 + FAULT_WEIGHT * runner.faultRate) + avoidMs;
     if (scoreMs >= foundMs) continue;
     found = runner;
     foundMs = scoreMs;
--- a/packages/decisions/src/ticket.ts
+++ b/packages/decisions/src/ticket.ts
@@ -22,6 +22,8 @@
   /** The version to be reached; empty means any. */
   readonly version: string;
   readonly isSuspect: boolean;
+  /** Runners that failed the request before; others are preferred. */
+  readonly avoid: readonly string[];
 }
 
 /** A ticket that holds a slot on a runner. */
--- a/packages/fleet/src/slots.ts
+++ b/packages/fleet/src/slots.ts
@@ -32,6 +32,8 @@
   readonly chain: readonly number[];
   readonly version: string;
   readonly isSuspect: boolean;
+  /** Backend servers that failed the request before. */
+  readonly avoid?: readonly string[];
 }
 
 /** A slot on a backend server, to be given back with `done`. */
@@ -428,6 +430,7 @@
       chain: wanted.chain,
       version: wanted.version,
       isSuspect: wanted.isSuspect,
+      avoid: wanted.avoid ?? [],
       region: this.options.region,
     };
   }
--- a/packages/gateway/src/delivery.ts
+++ b/packages/gateway/src/delivery.ts
@@ -63,6 +63,7 @@
 interface Progress {
   sends: number;
   mayHaveRun: boolean;
+  readonly failedOn: string[];
   lastEventId: string | undefined;
   hasEvents: boolean;
 }
@@ -92,6 +93,7 @@
     const progress: Progress = {
       sends: 0,
       mayHaveRun: false,
+      failedOn: [],
       lastEventId: forwarding.headers.value(
         received.headers,
         this.options.dialect.names.lastEventId,
@@ -134,7 +136,10 @@
     }
     let grant: slotsModule.Grant;
     try {
-      grant = await slots.acquire(this.wanted(accepted, pool), signal);
+      grant = await slots.acquire(
+        this.wanted(accepted, pool, progress),
+        signal,
+      );
     } catch (error) {
       if (!(error instanceof decisions.verdict.FailureError)) throw error;
       const {type, retryAfterMs} = error.failure;
@@ -155,6 +160,7 @@
       number: ++progress.sends,
       sentMs: this.nowMs,
     };
+    progress.failedOn.push(entry.id);
     if (attempt.number === 1) this.options.bounds.firstSend(accepted.service);
     else metrics.repeats.inc({service: accepted.service});
     return this.send(accepted, caller, progress, attempt, signal);
@@ -163,6 +169,7 @@
   private wanted(
     accepted: requests.Accepted,
     pool: decisions.config.Service,
+    progress: Progress,
   ): slotsModule.Wanted {
     const {received, account, demand, deadlineMs, fingerprint} = accepted;
     const standing = this.options.crashes.standing(fingerprint);
@@ -186,6 +193,7 @@
       chain: chainOf(demand),
       version: '',
       isSuspect: standing !== 'clear',
+      avoid: progress.failedOn,
     };
   }
 
--- /dev/null
+++ b/packages/gateway/src/directory.test.ts
@@ -0,0 +1,72 @@
+import * as assert from 'node:assert/strict';
+import * as test from 'node:test';
+
+import * as decisions from '@banyanhall/decisions';
+
+import * as directories from './directory.js';
+import * as logs from './logs.js';
+
+function entry(
+  id: string,
+  change: Partial<directories.ServerEntry> = {},
+): directories.ServerEntry {
+  return {
+    id,
+    service: 's',
+    address: '10.0.0.1:80',
+    zone: 'z',
+    version: 'v1',
+    capacity: 4,
+    isDraining: false,
+    bornAtMs: 0,
+    ...change,
+  };
+}
+
+function directoryWith(
+  ...entries: readonly directories.ServerEntry[]
+): directories.Directory {
+  const directory = new directories.Directory({
+    clock: new decisions.clock.FakeClock(),
+    log: logs.SILENT,
+    regionByZone: new Map([['z', 'r']]),
+    onChange: () => undefined,
+  });
+  for (const one of entries) directory.onServer(one.id, one);
+  return directory;
+}
+
+function names(
+  directory: directories.Directory,
+  isCandidate = false,
+): readonly string[] {
+  const pool = directory.pool('s', isCandidate);
+  return (pool?.backendServers ?? []).map(server => server.name);
+}
+
+test.test('draining and removed servers leave the pool', () => {
+  const directory = directoryWith(entry('a'), entry('b'), entry('c'));
+  directory.onServer('a', entry('a', {isDraining: true}));
+  directory.onServer('b', undefined);
+  assert.deepEqual(names(directory), ['c']);
+});
+
+test.test('a list without a server removes it', () => {
+  const directory = directoryWith(entry('a'), entry('b'));
+  directory.onAllServers(new Map([['b', entry('b')]]));
+  assert.deepEqual(names(directory), ['b']);
+});
+
+test.test('the version that is tried is a pool of its own', () => {
+  const directory = directoryWith(entry('a'), entry('b', {version: 'v2'}));
+  directory.setCandidates(new Map([['s', 'v2']]));
+  assert.deepEqual(names(directory), ['a']);
+  assert.deepEqual(names(directory, true), ['b']);
+  assert.ok(directory.hasBoth('s'));
+});
+
+test.test('a version that is alone is used whether tried or not', () => {
+  const directory = directoryWith(entry('b', {version: 'v2'}));
+  directory.setCandidates(new Map([['s', 'v2']]));
+  assert.deepEqual(names(directory), ['b']);
+});
--- a/packages/gateway/src/host.ts
+++ b/packages/gateway/src/host.ts
@@ -25,7 +25,7 @@
 
 const BACKLOG = 4096;
 /** How long an address answer may be kept, in milliseconds. */
-const ADDRESS_KEEP_MS = 2000;
+const ADDRESS_KEEP_MS = 1000;
 const MAX_ADDRESSES = 64;
 /** Hosts of the caller's own zone, or region, that are enough not to name others. */
 const ENOUGH_NEAR = 2;
@@ -420,7 +420,9 @@
     const scored = wanted.service.backendServers
       .map(server => ({
         server,
-        held: this.slots.heldOn(server.name) / server.maxRunning,
+        held:
+          this.slots.heldOn(server.name) / server.maxRunning +
+          Number(wanted.avoid?.includes(server.name) ?? false),
         isFar: Number(server.region !== region),
         roll: this.random(),
       }))
--- a/packages/gateway/src/rollouts.ts
+++ b/packages/gateway/src/rollouts.ts
@@ -162,7 +162,8 @@
     return this.options.clock.monotonicMs();
   }
 
-  private drive(): void {
+  /** Drives the roll-outs of the services that this host owns; called on a timer. */
+  drive(): void {
     for (const rollout of this.rollouts.values()) {
       const owner = decisions.rendezvous.owner(
         rollout.order.service,
--- a/packages/peers/src/messages.test.ts
+++ b/packages/peers/src/messages.test.ts
@@ -17,6 +17,7 @@
   region: '',
   firstWithinMs: 0,
   onTimeWithinMs: 0,
+  avoid: [],
 };
 
 test.test('zero and empty fields survive the wire', () => {
