--- a/packages/gateway/src/bounds.ts
+++ b/packages/gateway/src/bounds.ts
@@ -71,7 +71,8 @@
     }
     const waitMs = this.tokens.waitMs(key, tokens, rate);
     const retryMs = Math.min(MAX_RETRY_MS, Math.max(MIN_RETRY_MS, waitMs));
-    return requests.refusal(429, 'account-limit', retryMs);
+    const detail = `${account.name} asks ${tokens} of ${rate.perS}/s, short for ${Math.round(waitMs)} ms, ${otherHosts().length} other hosts`;
+    return requests.refusal(429, 'account-limit', retryMs, detail);
   }
 
   /** Takes a charge back for a request that did not run. */
--- a/packages/gateway/src/delivery.ts
+++ b/packages/gateway/src/delivery.ts
@@ -143,8 +143,10 @@
     } catch (error) {
       if (!(error instanceof decisions.verdict.FailureError)) throw error;
       const {type, retryAfterMs} = error.failure;
-      if (signal.aborted) return this.overdue(progress);
-      return this.gaveUp(progress, type, retryAfterMs);
+      const waitedMs = this.nowMs - accepted.received.arrivedMs;
+      const detail = `tier ${accepted.tier}, ${pool.backendServers.length} servers, waited ${Math.round(waitedMs)} ms`;
+      if (signal.aborted) return this.overdue(progress, detail);
+      return this.gaveUp(progress, type, retryAfterMs, detail);
     }
     metrics.slotWaitS.observe(
       {service: accepted.service},
@@ -477,17 +479,22 @@
     progress: Progress,
     reason: string,
     retryAfterMs = NO_SERVER_RETRY_MS,
+    detail = `after ${progress.sends} sends`,
   ): StepResult {
     if (progress.hasEvents) return ended({kind: 'broken-off', reason});
-    if (progress.mayHaveRun) return ended(requests.refusal(502, reason));
-    return ended(requests.refusal(503, reason, retryAfterMs));
+    const status = progress.mayHaveRun ? 502 : 503;
+    const returnMs = progress.mayHaveRun ? undefined : retryAfterMs;
+    return ended(requests.refusal(status, reason, returnMs, detail));
   }
 
-  private overdue(progress: Progress): StepResult {
+  private overdue(
+    progress: Progress,
+    detail = `after ${progress.sends} sends`,
+  ): StepResult {
     const reason = 'deadline';
     if (progress.hasEvents) return ended({kind: 'broken-off', reason});
     const status = progress.mayHaveRun ? 504 : 503;
-    return ended(requests.refusal(status, reason));
+    return ended(requests.refusal(status, reason, undefined, detail));
   }
 
   private silenceMs(accepted: requests.Accepted, progress: Progress): number {
--- a/packages/gateway/src/request.ts
+++ b/packages/gateway/src/request.ts
@@ -65,6 +65,8 @@
   readonly status: number;
   readonly reason: string;
   readonly retryAfterMs: number | undefined;
+  /** What decided it, for the log. */
+  readonly detail?: string;
 }
 
 /** Builds a refusal. */
@@ -72,8 +74,9 @@
   status: number,
   reason: string,
   retryAfterMs?: number,
+  detail?: string,
 ): Refusal {
-  return {kind: 'refusal', status, reason, retryAfterMs};
+  return {kind: 'refusal', status, reason, retryAfterMs, detail};
 }
 
 /** How soon a host that knows no configuration yet may be asked again. */
@@ -92,7 +95,10 @@
   }
   const [path] = received.target.split('?', 1);
   const route = configuration.route(received.authority, path);
-  if (!route) return refusal(404, 'no-route');
+  if (!route) {
+    const detail = `${received.authority}${path}`;
+    return refusal(404, 'no-route', undefined, detail);
+  }
   const {names} = dialect;
   const key = forwarding.headers.value(received.headers, names.key);
   const needsKey = configuration.fields.needsKeys && !route.isPublic;
