A reset that comes with an answer's last bytes is told from its end

Ruled out: a reset that is reported as an error, which the test before covers. The peer's address is gone only after a reset.

--- a/packages/forwarding/src/upstream.ts
+++ b/packages/forwarding/src/upstream.ts
@@ -126,10 +126,17 @@
       };
       request.on('socket', socket => {
         socket.setNoDelay(true);
+        // A reset that comes with the last bytes is reported as an end; it
+        // shows only in that the connection has no peer any more.
+        const onSocketEnd = () => {
+          if (socket.remoteAddress === undefined) isReset = true;
+        };
         socket.once('error', onSocketError);
-        request.once('close', () =>
-          socket.removeListener('error', onSocketError),
-        );
+        socket.prependOnceListener('end', onSocketEnd);
+        request.once('close', () => {
+          socket.removeListener('error', onSocketError);
+          socket.removeListener('end', onSocketEnd);
+        });
         if (!socket.connecting) {
           isConnected = true;
           return;
