--- a/packages/decisions/src/cell.test.ts
+++ b/packages/decisions/src/cell.test.ts
@@ -45,6 +45,7 @@
     version: '',
     isSuspect: false,
     avoid: [],
+    urgency: 0,
     ...change,
   };
 }
@@ -90,6 +91,14 @@
   return cell.apply({kind: 'done', ticketId, outcome}, nowMs);
 }
 
+test.test('urgent requests of a tier go first', () => {
+  const cell = busyCell();
+  const waiting = cell
+    .apply(ask(ticket('later', {urgency: 2})), 0)
+    .cell.apply(ask(ticket('first', {urgency: 0})), 0).cell;
+  assert.deepEqual(grants(finish(waiting, 'busy', 1)), ['first']);
+});
+
 test.test('a request that failed on a runner is granted on another one', () => {
   const cell = cellWith(server('s1'), server('s2'));
   const again = cell.apply(ask(ticket('t', {avoid: ['s1']})), 0);
--- a/packages/decisions/src/estimate.ts
+++ b/packages/decisions/src/estimate.ts
@@ -74,5 +74,6 @@
 
 function isAhead(other: tickets.Ticket, ticket: tickets.Ticket): boolean {
   if (other.tier !== ticket.tier) return other.tier < ticket.tier;
+  if (other.urgency !== ticket.urgency) return other.urgency < ticket.urgency;
   return other.deadlineMs <= ticket.deadlineMs;
 }
--- a/packages/decisions/src/rank.ts
+++ b/packages/decisions/src/rank.ts
@@ -88,7 +88,7 @@
 }
 
 /**
- * Orders waiting tickets: tier, then accounts under their fair share, then
+ * Orders waiting tickets: tier, urgency, then accounts under their fair share, then
  * those that can still be on time, then the time by which they have to be,
  * then arrival.
  */
@@ -110,6 +110,7 @@
   return [...waiting].sort(
     (a, b) =>
       a.tier - b.tier ||
+      a.urgency - b.urgency ||
       Number(isOver(a)) - Number(isOver(b)) ||
       Number(nowMs > a.onTimeByMs) - Number(nowMs > b.onTimeByMs) ||
       a.onTimeByMs - b.onTimeByMs ||
--- a/packages/decisions/src/ticket.ts
+++ b/packages/decisions/src/ticket.ts
@@ -9,6 +9,8 @@
   readonly account: string;
   readonly weight: number;
   readonly tier: config.Tier;
+  /** Orders the tickets of a tier; lower ones go first. */
+  readonly urgency: number;
   readonly deadlineMs: number;
   /** The latest first token that the caller waits for. */
   readonly firstByMs: number;
--- a/packages/fleet/src/slots.ts
+++ b/packages/fleet/src/slots.ts
@@ -22,6 +22,8 @@
   readonly service: decisions.config.Service;
   readonly account: decisions.config.Account;
   readonly tier: decisions.config.Tier;
+  /** Orders the requests of a tier, lower ones first; 0 when it is not given. */
+  readonly urgency?: number;
   readonly deadlineMs: number;
   /** The latest first token that the caller waits for; the deadline when it is not given. */
   readonly firstByMs?: number;
@@ -431,6 +433,7 @@
       version: wanted.version,
       isSuspect: wanted.isSuspect,
       avoid: wanted.avoid ?? [],
+      urgency: wanted.urgency ?? 0,
       region: this.options.region,
     };
   }
--- a/packages/forwarding/src/upstream.test.ts
+++ b/packages/forwarding/src/upstream.test.ts
@@ -94,18 +94,21 @@
   ),
 );
 
-test.test('a body without a length whose reset comes with its last bytes is not whole', () =>
-  against(
-    socket => {
-      socket.write('HTTP/1.1 200 OK\r\nX-Id: a\r\n\r\npart');
-      socket.resetAndDestroy();
-    },
-    async send => {
-      const sent = await send('a');
-      if (sent.kind === 'failed') return;
-      assert.equal(await upstreams.wholeBody(sent), undefined);
-    },
-  ));
+test.test(
+  'a body without a length whose reset comes with its last bytes is not whole',
+  () =>
+    against(
+      socket => {
+        socket.write('HTTP/1.1 200 OK\r\nX-Id: a\r\n\r\npart');
+        socket.resetAndDestroy();
+      },
+      async send => {
+        const sent = await send('a');
+        if (sent.kind === 'failed') return;
+        assert.equal(await upstreams.wholeBody(sent), undefined);
+      },
+    ),
+);
 
 test.test('a body that is shorter than its length is not whole', () =>
   against(
--- a/packages/gateway/src/delivery.ts
+++ b/packages/gateway/src/delivery.ts
@@ -186,6 +186,7 @@
         weight: Math.max(1, account?.tokensPerS ?? 1),
       },
       tier: accepted.tier,
+      urgency: accepted.urgency,
       deadlineMs,
       firstByMs: Math.min(deadlineMs, accepted.firstByMs),
       onTimeByMs: Math.min(deadlineMs, accepted.onTimeByMs),
--- a/packages/gateway/src/request.ts
+++ b/packages/gateway/src/request.ts
@@ -49,6 +49,8 @@
   readonly account: routing.configuration.Account | undefined;
   readonly demand: Demand | undefined;
   readonly tier: decisions.config.Tier;
+  /** Orders the requests of a tier. */
+  readonly urgency: number;
   /** When the first of the caller's patience and the route's timeout ends. */
   readonly deadlineMs: number;
   /** When the caller leaves if nothing has come. */
@@ -115,6 +117,7 @@
     kind: 'accepted',
     ...{received, route, service, account, demand},
     tier: tierOf(accountPriority ?? route.priority),
+    urgency: route.priority,
     deadlineMs: received.arrivedMs + Math.min(patienceMs, route.timeoutMs),
     firstByMs: received.arrivedMs + Math.min(patienceMs, route.firstPatienceMs),
     onTimeByMs: received.arrivedMs + route.objectiveMs,
--- a/packages/peers/src/messages.test.ts
+++ b/packages/peers/src/messages.test.ts
@@ -18,6 +18,7 @@
   firstWithinMs: 0,
   onTimeWithinMs: 0,
   avoid: [],
+  urgency: 0,
 };
 
 test.test('zero and empty fields survive the wire', () => {
