--- a/packages/gateway/src/delivery.ts
+++ b/packages/gateway/src/delivery.ts
@@ -1,5 +1,3 @@
-import * as net from 'node:net';
-
 import * as decisions from '@banyanhall/decisions';
 import type * as crashesModule from '@banyanhall/fleet/crashes.js';
 import type * as slotsModule from '@banyanhall/fleet/slots.js';
@@ -10,6 +8,7 @@
 import * as directories from './directory.js';
 import type * as logs from './logs.js';
 import type * as metrics from './metrics.js';
+import * as probes from './probe.js';
 import * as requests from './request.js';
 import type * as rollouts from './rollouts.js';
 
@@ -24,7 +23,6 @@
 const MIN_LEFT_MS = 60;
 /** A send without a first byte for this long counts against the backend server even if the caller left. */
 const SILENT_MS = 1100;
-const CRASH_PROBE_MS = 250;
 const OK = 200;
 const SERVER_ERROR = 500;
 /** How soon a caller may come back when no backend server took its request. */
@@ -193,7 +191,7 @@
       promptTokens: demand?.promptTokens ?? 0,
       outputTokens:
         demand?.likelyOutputTokens ?? directories.PLAIN_OUTPUT_TOKENS,
-      chain: chainOf(demand),
+      chain: requests.chainOf(demand),
       version: '',
       isSuspect: standing !== 'clear',
       avoid: progress.failedOn,
@@ -447,7 +445,7 @@
     this.observe(accepted, attempt, failure.verdict !== 'not-run', 0, 0);
     const isBroken =
       failure.cause === 'reset' || failure.cause === 'broken-answer';
-    const hasCrashed = isBroken && (await isDown(entry.address));
+    const hasCrashed = isBroken && (await probes.isDown(entry.address));
     if (hasCrashed) crashes.crashed(entry.id);
     slots.done(grant.ticketId, OUTCOMES[failure.cause](hasCrashed));
     if (failure.cause === 'wrong-server') {
@@ -564,35 +562,3 @@
   const verdict = 'may-have-run';
   return {kind: 'failed', cause, verdict, status: 0, load: undefined, detail};
 }
-
-/** Block hashes of a prompt's parts, as the guess of prefix caches takes them. */
-function chainOf(demand: requests.Demand | undefined): readonly number[] {
-  const chain: number[] = [];
-  for (const {id, tokens} of demand?.parts ?? []) {
-    const blocks = Math.floor(tokens / decisions.prefix.BLOCK_TOKENS);
-    for (let i = 0; i < blocks && chain.length < MAX_CHAIN; i++) {
-      const previous = chain[chain.length - 1] ?? 0;
-      chain.push(decisions.rendezvous.hash32(`${previous}:${id}`));
-    }
-  }
-  return chain;
-}
-
-/** Blocks of a prompt that are told to keepers at most. */
-const MAX_CHAIN = 64;
-
-/** True when nothing accepts connections at the address: what was running there has crashed. */
-function isDown(address: string): Promise<boolean> {
-  const [host, port] = address.split(':');
-  return new Promise(resolve => {
-    const socket = net.connect({host, port: Number(port)});
-    const settle = (isDead: boolean) => {
-      clearTimeout(timer);
-      socket.destroy();
-      resolve(isDead);
-    };
-    const timer = setTimeout(() => settle(false), CRASH_PROBE_MS);
-    socket.once('connect', () => settle(false));
-    socket.once('error', () => settle(true));
-  });
-}
--- a/packages/gateway/src/host.ts
+++ b/packages/gateway/src/host.ts
@@ -18,12 +18,12 @@
 import * as callers from './caller.js';
 import * as deliveries from './delivery.js';
 import * as directories from './directory.js';
+import * as listeners from './listeners.js';
 import * as logs from './logs.js';
 import * as metricsModule from './metrics.js';
 import * as requests from './request.js';
 import * as rollouts from './rollouts.js';
 
-const BACKLOG = 4096;
 /** How long an address answer may be kept, in milliseconds. */
 const ADDRESS_KEEP_MS = 1000;
 const MAX_ADDRESSES = 64;
@@ -215,18 +215,19 @@
     const {settings, log} = this.options;
     await this.links.listen(settings.peerAddress);
     await Promise.all([
-      listen(this.ingress, settings.callerAddress),
+      listeners.listen(this.ingress, settings.callerAddress),
       this.serve(settings.readinessAddress, (target, response) => {
         const isCheck = this.options.endpoints.isReadinessCheck(target);
-        end(response, isCheck ? (this.isReady ? 200 : 503) : 404, '');
+        listeners.end(response, isCheck ? (this.isReady ? 200 : 503) : 404, '');
       }),
       this.serve(settings.directoryAddress, (target, response) =>
         this.answerAddresses(target, response),
       ),
       this.serve(settings.metricsAddress, (target, response) => {
-        if (target !== settings.metricsPath) return end(response, 404, '');
+        if (target !== settings.metricsPath)
+          return listeners.end(response, 404, '');
         void this.metricsText().then(text =>
-          end(response, 200, text, 'text/plain'),
+          listeners.end(response, 200, text, 'text/plain'),
         );
       }),
     ]);
@@ -344,7 +345,7 @@
     let route = '';
     let ended: deliveries.Ended;
     try {
-      const body = await readBody(request);
+      const body = await listeners.readBody(request);
       if (!body) {
         log.event('caller-left', id, {stage: 'reading'});
         return;
@@ -431,7 +432,7 @@
   private answerAddresses(target: string, response: http.ServerResponse): void {
     const {endpoints, settings} = this.options;
     const question = endpoints.addressQuestion(target);
-    if (!question) return end(response, 404, '');
+    if (!question) return listeners.end(response, 404, '');
     const serving = this.members.serving.filter(
       member => member.host !== settings.host || !this.isStopping,
     );
@@ -442,7 +443,7 @@
     const sample = decisions.random.sample(chosen, MAX_ADDRESSES, this.random);
     const addresses = sample.map(member => member.callerUrl);
     const body = endpoints.addressAnswer(addresses, ADDRESS_KEEP_MS);
-    end(response, 200, body, 'application/json');
+    listeners.end(response, 200, body, 'application/json');
   }
 
   private async metricsText(): Promise<string> {
@@ -461,12 +462,9 @@
     address: Address,
     handle: (target: string, response: http.ServerResponse) => void,
   ): Promise<void> {
-    const server = http.createServer((request, response) => {
-      request.resume();
-      handle(request.url ?? '', response);
-    });
+    const {server, isListening} = listeners.serve(address, handle);
     this.servers.push(server);
-    return listen(server, address);
+    return isListening;
   }
 }
 
@@ -486,38 +484,6 @@
   refusal: 'refused',
 };
 
-function listen(server: http.Server, address: Address): Promise<void> {
-  const [host, port] = address.split(':');
-  return new Promise((resolve, reject) => {
-    server.once('error', reject);
-    server.listen({host, port: Number(port), backlog: BACKLOG}, resolve);
-  });
-}
-
-function end(
-  response: http.ServerResponse,
-  status: number,
-  body: string,
-  type = 'text/plain',
-): void {
-  response.writeHead(status, {
-    'Content-Type': type,
-    'Content-Length': Buffer.byteLength(body),
-  });
-  response.end(body);
-}
-
-/** The whole body of a request; undefined when the caller left before it was whole. */
-function readBody(request: http.IncomingMessage): Promise<Buffer | undefined> {
-  return new Promise(resolve => {
-    const chunks: Buffer[] = [];
-    request.on('data', (chunk: Buffer) => chunks.push(chunk));
-    request.on('end', () => resolve(Buffer.concat(chunks)));
-    request.on('error', () => resolve(undefined));
-    request.on('close', () => resolve(undefined));
-  });
-}
-
 function receivedOf(
   request: http.IncomingMessage,
   id: string,
--- /dev/null
+++ b/packages/gateway/src/listeners.ts
@@ -0,0 +1,51 @@
+import * as http from 'node:http';
+
+const BACKLOG = 4096;
+
+/** Starts a server for small requests whose bodies don't matter. */
+export function serve(
+  address: string,
+  handle: (target: string, response: http.ServerResponse) => void,
+): {readonly server: http.Server; readonly isListening: Promise<void>} {
+  const server = http.createServer((request, response) => {
+    request.resume();
+    handle(request.url ?? '', response);
+  });
+  return {server, isListening: listen(server, address)};
+}
+
+/** Starts a listener on ip:port; rejects when the address is taken. */
+export function listen(server: http.Server, address: string): Promise<void> {
+  const [host, port] = address.split(':');
+  return new Promise((resolve, reject) => {
+    server.once('error', reject);
+    server.listen({host, port: Number(port), backlog: BACKLOG}, resolve);
+  });
+}
+
+/** Ends a response with a whole body. */
+export function end(
+  response: http.ServerResponse,
+  status: number,
+  body: string,
+  type = 'text/plain',
+): void {
+  response.writeHead(status, {
+    'Content-Type': type,
+    'Content-Length': Buffer.byteLength(body),
+  });
+  response.end(body);
+}
+
+/** The whole body of a request; undefined when the caller left before it was whole. */
+export function readBody(
+  request: http.IncomingMessage,
+): Promise<Buffer | undefined> {
+  return new Promise(resolve => {
+    const chunks: Buffer[] = [];
+    request.on('data', (chunk: Buffer) => chunks.push(chunk));
+    request.on('end', () => resolve(Buffer.concat(chunks)));
+    request.on('error', () => resolve(undefined));
+    request.on('close', () => resolve(undefined));
+  });
+}
--- a/packages/gateway/src/request.ts
+++ b/packages/gateway/src/request.ts
@@ -1,6 +1,6 @@
 import type * as http from 'node:http';
 
-import type * as decisions from '@banyanhall/decisions';
+import * as decisions from '@banyanhall/decisions';
 import * as forwarding from '@banyanhall/forwarding';
 import * as routing from '@banyanhall/routing';
 
@@ -170,3 +170,19 @@
   for (const [name, value] of Object.entries(set)) headers.push(name, value);
   return headers;
 }
+
+/** Blocks of a prompt that are told to keepers at most. */
+const MAX_CHAIN = 64;
+
+/** Block hashes of a prompt's parts, as the guess of prefix caches takes them. */
+export function chainOf(demand: Demand | undefined): readonly number[] {
+  const chain: number[] = [];
+  for (const {id, tokens} of demand?.parts ?? []) {
+    const blocks = Math.floor(tokens / decisions.prefix.BLOCK_TOKENS);
+    for (let i = 0; i < blocks && chain.length < MAX_CHAIN; i++) {
+      const previous = chain[chain.length - 1] ?? 0;
+      chain.push(decisions.rendezvous.hash32(`${previous}:${id}`));
+    }
+  }
+  return chain;
+}
