--- a/packages/gateway/src/directory.test.ts
+++ b/packages/gateway/src/directory.test.ts
@@ -23,6 +23,8 @@
   };
 }
 
+let rebuilt = 0;
+
 function directoryWith(
   ...entries: readonly directories.ServerEntry[]
 ): directories.Directory {
@@ -30,7 +32,7 @@
     clock: new decisions.clock.FakeClock(),
     log: logs.SILENT,
     regionByZone: new Map([['z', 'r']]),
-    onChange: () => undefined,
+    onChange: () => rebuilt++,
   });
   for (const one of entries) directory.onServer(one.id, one);
   return directory;
@@ -61,6 +63,15 @@
   test.mock.timers.reset();
 });
 
+test.test('many changes at once rebuild the pools once', () => {
+  const directory = directoryWith();
+  rebuilt = 0;
+  const ids = ['a', 'b', 'c', 'd'];
+  directory.onAllServers(new Map(ids.map(id => [id, entry(id)])));
+  assert.equal(rebuilt, 1);
+  assert.deepEqual(names(directory), ids);
+});
+
 test.test('a list without a server removes it', () => {
   const directory = directoryWith(entry('a'), entry('b'));
   directory.onAllServers(new Map([['b', entry('b')]]));
--- a/packages/gateway/src/directory.ts
+++ b/packages/gateway/src/directory.ts
@@ -66,6 +66,9 @@
   private readonly lapsing = new Map<string, NodeJS.Timeout>();
   private candidates: ReadonlyMap<string, string> = new Map();
   private pools = decisions.config.Config.empty;
+  private isBatching = false;
+  /** True when changes of a batch are not in the pools yet. */
+  private isStale = false;
   private isStoreAway = false;
   private storeBackMs = -Infinity;
   private changedMs = -Infinity;
@@ -151,12 +154,19 @@
     this.rebuild();
   }
 
+  /** Takes in several changes of the list; the pools are rebuilt once. */
+  onServers(changes: ReadonlyMap<string, ServerEntry | undefined>): void {
+    this.isBatching = true;
+    for (const [id, entry] of changes) this.onServer(id, entry);
+    this.isBatching = false;
+    if (this.isStale) this.rebuild();
+  }
+
   /** Replaces the whole list: what is missing from it is gone. */
   onAllServers(all: ReadonlyMap<string, ServerEntry | undefined>): void {
-    for (const id of [...this.entries.keys()]) {
-      if (!all.has(id)) this.onServer(id, undefined);
-    }
-    for (const [id, entry] of all) this.onServer(id, entry);
+    const missing = [...this.entries.keys()].filter(id => !all.has(id));
+    const gone = missing.map(id => [id, undefined] as const);
+    this.onServers(new Map([...gone, ...all]));
   }
 
   /** Notes whether the store answers. */
@@ -197,6 +207,8 @@
   }
 
   private rebuild(): void {
+    this.isStale = this.isBatching;
+    if (this.isBatching) return;
     const services = new Set([...this.entries.values()].map(e => e.service));
     const edits: decisions.config.Edit[] = [];
     for (const service of services) {
