--- a/packages/gateway/src/delivery.ts
+++ b/packages/gateway/src/delivery.ts
@@ -61,6 +61,8 @@
 interface Progress {
   sends: number;
   mayHaveRun: boolean;
+  /** True when the next send was granted a part of the shared budget already. */
+  isRepeatCounted: boolean;
   readonly failedOn: string[];
   lastEventId: string | undefined;
   hasEvents: boolean;
@@ -91,6 +93,7 @@
     const progress: Progress = {
       sends: 0,
       mayHaveRun: false,
+      isRepeatCounted: false,
       failedOn: [],
       lastEventId: forwarding.headers.value(
         received.headers,
@@ -129,7 +132,9 @@
     const isCandidate = rollouts.usesCandidate(accepted.service);
     const pool = directory.pool(accepted.service, isCandidate);
     if (!pool) return this.gaveUp(progress, 'no-backend-server');
-    if (progress.sends > 0 && !this.mayRepeat(accepted, progress)) {
+    const isCounted = progress.sends === 0 || progress.isRepeatCounted;
+    progress.isRepeatCounted = false;
+    if (!isCounted && !this.mayRepeat(accepted, progress)) {
       return this.gaveUp(progress, 'no-repeat-left');
     }
     let grant: slotsModule.Grant;
@@ -334,9 +339,10 @@
     );
     this.count(accepted, `status-${status}`);
     if (!isFailure) this.options.crashes.completed(accepted.fingerprint);
-    if (isFailure && this.mayTryElsewhere(accepted, progress)) {
+    if (isFailure) {
       progress.mayHaveRun = true;
-      return AGAIN;
+      progress.isRepeatCounted = this.mayRepeat(accepted, progress);
+      if (progress.isRepeatCounted) return AGAIN;
     }
     if (caller.isStarted) {
       return ended({kind: 'broken-off', reason: `status ${status} on resume`});
