--- a/packages/gateway/src/bounds.ts
+++ b/packages/gateway/src/bounds.ts
@@ -4,6 +4,7 @@
 
 import * as requests from './request.js';
 
+/** How often a host tells the hub what it used; hosts may overshoot by what they admit in that time. */
 const REPORT_MS = 300;
 /** Picks the hub by rendezvous. */
 const HUB_NAME = 'usage';
@@ -14,6 +15,7 @@
 const REPEAT_MARGIN = 0.5;
 /** The part of a stated tolerance that an account's use may enter; the rest covers the lag of reports. */
 const TOLERANCE_MARGIN = 0.5;
+/** The shortest and longest times after which a caller over its limit is asked to come back. */
 const MIN_RETRY_MS = 500;
 const MAX_RETRY_MS = 4000;
 
--- a/packages/gateway/src/directory.ts
+++ b/packages/gateway/src/directory.ts
@@ -9,6 +9,7 @@
 /** How long the last server of a service is used after its entry vanished; it serves on for a stated time, in milliseconds. */
 const LAST_KEPT_MS = 1500;
 
+/** Requests at once that a backend server is given when nothing says how many. */
 const MIN_CAPACITY = 1;
 
 /** Separates a service from the version that is being tried, in the name of a pool. */
@@ -28,16 +29,11 @@
   readonly bornAtMs: number;
 }
 
-/** Speeds and sizes that a new engine is expected to have. */
-export interface EngineDefaults {
-  readonly pace: decisions.pace.Pace;
-  readonly plainPace: decisions.pace.Pace;
-}
-
-const DEFAULTS: EngineDefaults = {
-  // One of the sheets' engines reads 56 tokens in a millisecond and makes a token each 4 ms, shared by its batch.
+/** The speeds that are assumed before anything was measured; lower than typical ones, so that learning corrects upwards. */
+const DEFAULTS: Readonly<Record<'pace' | 'plainPace', decisions.pace.Pace>> = {
+  // An engine in a full batch.
   pace: {prefillTokensPerS: 20_000, decodeTokensPerS: 150},
-  // A plain request counts as `PLAIN_OUTPUT_TOKENS` tokens; 50 ms is the order of the sheets' plain work.
+  // 50 ms a request of `PLAIN_OUTPUT_TOKENS` tokens.
   plainPace: {prefillTokensPerS: 1_000_000, decodeTokensPerS: 200},
 };
 
