Cell: first tokens are predicted, backoff by cause; a model of engines to compare policies

Cause: in the model, urgent requests were late on slow engines whose place happened to be free, and engines that were back from a crash stood unused for up to 10 s, since a refused connection doubled the same pause as silence.

--- a/packages/decisions/src/cell.test.ts
+++ b/packages/decisions/src/cell.test.ts
@@ -221,6 +221,47 @@
   },
 );
 
+test.test(
+  'a runner that refuses connections again and again is tried every second',
+  () => {
+    const outcome = {kind: 'unreachable'} as const;
+    let cell = cellWith(server('s1'));
+    let nowMs = 0;
+    for (let i = 0; i < 6; i++) {
+      cell = cell.apply(ask(ticket(`t${i}`)), nowMs).cell;
+      const tried = cell.apply({kind: 'tick'}, nowMs + 1000);
+      assert.equal(tried.cell.running.length, 1, `try ${i}`);
+      nowMs += 1000;
+      const done = {kind: 'done', ticketId: `t${i}`, outcome} as const;
+      cell = tried.cell.apply(done, nowMs).cell;
+    }
+  },
+);
+
+test.test(
+  'a prompt waits for a runner that reads it in time, not for long',
+  () => {
+    const pace = {prefillTokensPerS: 10_000, decodeTokensPerS: 100};
+    const slow = {...server('slow'), slotTokens: 1e6, expectedPace: pace};
+    const fast = {
+      ...{...server('fast', 1), slotTokens: 1e6},
+      expectedPace: {...pace, prefillTokensPerS: 100_000},
+    };
+    const long = {promptTokens: 8000, onTimeByMs: 600};
+    let cell = cellWith(slow, fast).apply(ask(ticket('t1', long)), 0).cell;
+    const asked = cell.apply(ask(ticket('t2', long)), 0);
+    assert.deepEqual(grants(asked), []);
+    const freed = {kind: 'done', ticketId: 't1', outcome: {kind: 'cancelled'}};
+    const onFast = asked.cell.apply(freed as events.CellEvent, 100);
+    assert.deepEqual(runnersOf(onFast), ['fast']);
+    cell = asked.cell.apply({kind: 'tick'}, 540).cell;
+    assert.deepEqual(
+      cell.running.map(held => held.runner),
+      ['fast', 'slow'],
+    );
+  },
+);
+
 test.test('a suspect runs alone', () => {
   let cell = cellWith(server('s1'), server('s2'));
   cell = cell.apply(ask(ticket('t1')), 0).cell;
--- a/packages/decisions/src/cell.ts
+++ b/packages/decisions/src/cell.ts
@@ -225,7 +225,10 @@
     left.delete(held.ticket.id);
     return this.withoutWaiting(held.ticket.id).with({
       running: new Map(running).set(held.ticket.id, held),
-      runners: new Map(all).set(runner.name, runner.occupy(held.ticket)),
+      runners: new Map(all).set(
+        runner.name,
+        runner.occupy(held.ticket, held.grantedMs),
+      ),
       orphans: left,
     });
   }
--- a/packages/decisions/src/fit.ts
+++ b/packages/decisions/src/fit.ts
@@ -4,6 +4,9 @@
 /** What an answer over a paid-for link between regions counts as, in milliseconds of waiting. */
 const LINK_COST_MS = 100;
 
+/** How long before its objective a ticket stops waiting for a runner that can still meet it, in milliseconds. */
+const HOLD_MARGIN_MS = 50;
+
 /** How many times its expected time a runner counts as when everything fails on it. */
 const FAULT_WEIGHT = 6;
 
@@ -19,12 +22,17 @@
 ): runners.Runner | undefined {
   let found: runners.Runner | undefined;
   let foundMs = Infinity;
+  const mayHold = canWaitForOnTime(all, ticket, nowMs);
   for (const runner of all) {
     if (blocked.has(runner.name) || !runner.serves(ticket)) continue;
     if (!runner.fits(ticket, nowMs)) continue;
     if (!runner.isInTime(ticket, nowMs)) continue;
+    if (mayHold && !runner.isOnTime(ticket, nowMs)) continue;
     const linkMs = runner.server.region === ticket.region ? 0 : LINK_COST_MS;
-    const costMs = runner.expectedMs(ticket) * (1 + runner.load) + linkMs;
+    const firstAtMs = runner.firstTokenAtMs(ticket, nowMs);
+    const queueMs = firstAtMs - nowMs - runner.expectedReadMs(ticket);
+    const costMs =
+      runner.expectedMs(ticket) * (1 + runner.load) + queueMs + linkMs;
     const avoidMs = ticket.avoid.includes(runner.name) ? AVOID_COST_MS : 0;
     const scoreMs = costMs * (1 + FAULT_WEIGHT * runner.faultRate) + avoidMs;
     if (scoreMs >= foundMs) continue;
@@ -34,14 +42,37 @@
   return found;
 }
 
+/**
+ * True while a ticket gains by waiting: the runners with free slots would
+ * bring its first token too late, and some busy one would not. The margin is
+ * the time in which a slot gets free there.
+ */
+function canWaitForOnTime(
+  all: readonly runners.Runner[],
+  ticket: tickets.Ticket,
+  nowMs: number,
+): boolean {
+  const atMs = nowMs + HOLD_MARGIN_MS;
+  return all.some(
+    runner =>
+      runner.state === 'live' &&
+      runner.serves(ticket) &&
+      atMs + runner.expectedReadMs(ticket) <= ticket.onTimeByMs,
+  );
+}
+
 /** The runners that are kept free for a ticket that does not fit: one for a suspect, else all that serve it in time. */
 export function needed(
   all: readonly runners.Runner[],
   ticket: tickets.Ticket,
   nowMs: number,
 ): readonly string[] {
+  const mayHold = canWaitForOnTime(all, ticket, nowMs);
   const able = all.filter(
-    runner => runner.serves(ticket) && runner.isInTime(ticket, nowMs),
+    runner =>
+      runner.serves(ticket) &&
+      runner.isInTime(ticket, nowMs) &&
+      (!mayHold || runner.isOnTime(ticket, nowMs)),
   );
   if (!ticket.isSuspect) return able.map(runner => runner.name);
   const [emptiest] = [...able].sort((a, b) => a.running - b.running);
--- a/packages/decisions/src/runner.ts
+++ b/packages/decisions/src/runner.ts
@@ -4,7 +4,18 @@
 import * as tickets from './ticket.js';
 
 const FIRST_BACKOFF_MS = 500;
-const MAX_BACKOFF_MS = 10_000;
+
+/**
+ * The longest pause before a runner is tried again, by what went wrong. A
+ * refusal costs the next request some milliseconds; silence costs it a second
+ * or more, so a silent runner is left alone for longer.
+ */
+const MAX_BACKOFF_MS = {
+  'not-admitted': 500,
+  unreachable: 1000,
+  crashed: 2000,
+  silent: 5000,
+} as const;
 const LEAVING_STICKS_MS = 5000;
 const FAULT_SMOOTHING = 0.15;
 
@@ -39,6 +50,8 @@
   readonly cached: prefix.PrefixGuess;
   readonly usedTokens: number;
   readonly running: number;
+  /** When the prompts that were sent to it so far are expected to be read: it reads one at a time. */
+  readonly readUntilMs: number;
   readonly hasSuspect: boolean;
   /** The share of recent requests that failed on it, the latest ones counting most. */
   readonly faultRate: number;
@@ -75,6 +88,7 @@
       cached: prefix.PrefixGuess.empty,
       usedTokens: 0,
       running: 0,
+      readUntilMs: -Infinity,
       hasSuspect: false,
       faultRate: 0,
     });
@@ -118,6 +132,11 @@
     return this.fields.faultRate;
   }
 
+  /** When the prompts that were sent to it so far are expected to be read. */
+  get readUntilMs(): number {
+    return this.fields.readUntilMs;
+  }
+
   /** True when the runner may take new work at `nowMs`; a runner that is down takes one request as a probe. */
   isOpen(nowMs: number): boolean {
     const {state, retryAtMs, running} = this.fields;
@@ -142,7 +161,7 @@
     if (ticket.isSuspect) return false;
     const ceiling = TIER_CEILING[ticket.tier];
     const {server, usedTokens, running} = this.fields;
-    const maxRunning = Math.max(1, Math.floor(server.maxRunning * ceiling));
+    const maxRunning = Math.ceil(server.maxRunning * ceiling);
     return (
       running < maxRunning &&
       usedTokens + tickets.slotTokens(ticket) <= server.slotTokens * ceiling
@@ -162,28 +181,41 @@
     return pace.expectedMs(this.fields.pace, prefill, ticket.outputTokens);
   }
 
-  /** The expected time from dispatch to the first token, in milliseconds. */
-  expectedFirstMs(ticket: tickets.Ticket): number {
+  /** The expected time that the runner takes for the ticket's prompt, in milliseconds. */
+  expectedReadMs(ticket: tickets.Ticket): number {
     const cached = this.fields.cached.cachedTokens(ticket.chain);
     const prefill = Math.max(0, ticket.promptTokens - cached);
     return pace.expectedMs(this.fields.pace, prefill, 0);
   }
 
+  /** When the first token of a ticket that is dispatched at `nowMs` is expected. */
+  firstTokenAtMs(ticket: tickets.Ticket, nowMs: number): number {
+    return (
+      Math.max(nowMs, this.fields.readUntilMs) + this.expectedReadMs(ticket)
+    );
+  }
+
   /** True when the ticket's first token and its end are still expected in time. */
   isInTime(ticket: tickets.Ticket, nowMs: number): boolean {
     return (
       nowMs + this.expectedMs(ticket) <= ticket.deadlineMs &&
-      nowMs + this.expectedFirstMs(ticket) <= ticket.firstByMs
+      nowMs + this.expectedReadMs(ticket) <= ticket.firstByMs
     );
   }
 
-  /** The runner with the ticket in a slot. */
-  occupy(ticket: tickets.Ticket): Runner {
+  /** True when the first token of a ticket that is dispatched now is expected on time. */
+  isOnTime(ticket: tickets.Ticket, nowMs: number): boolean {
+    return this.firstTokenAtMs(ticket, nowMs) <= ticket.onTimeByMs;
+  }
+
+  /** The runner with the ticket in a slot since `grantedMs`. */
+  occupy(ticket: tickets.Ticket, grantedMs: number): Runner {
     const {usedTokens, running, cached, server} = this.fields;
     const maxBlocks = Math.ceil(server.slotTokens / prefix.BLOCK_TOKENS);
     return this.with({
       usedTokens: usedTokens + tickets.slotTokens(ticket),
       running: running + 1,
+      readUntilMs: this.firstTokenAtMs(ticket, grantedMs),
       cached: cached.used(ticket.chain, maxBlocks),
       hasSuspect: this.fields.hasSuspect || ticket.isSuspect,
     });
@@ -234,10 +266,10 @@
   }
 
   /** Marks the runner down until a backoff has passed. */
-  failed(nowMs: number): Runner {
+  failed(cause: keyof typeof MAX_BACKOFF_MS, nowMs: number): Runner {
     const failures = this.fields.failures + 1;
     const backoffMs = Math.min(
-      MAX_BACKOFF_MS,
+      MAX_BACKOFF_MS[cause],
       FIRST_BACKOFF_MS * 2 ** (failures - 1),
     );
     const state = this.fields.state === 'leaving' ? 'leaving' : 'down';
@@ -271,9 +303,11 @@
     runner.succeeded(outcome.measured).noted(false),
   cancelled: runner => runner,
   'not-admitted': (runner, outcome, nowMs) =>
-    outcome.isLeaving ? runner.signalled(true, nowMs) : runner.failed(nowMs),
-  unreachable: (runner, _, nowMs) => runner.failed(nowMs),
-  crashed: (runner, _, nowMs) => runner.failed(nowMs),
-  silent: (runner, _, nowMs) => runner.failed(nowMs).noted(true),
+    outcome.isLeaving
+      ? runner.signalled(true, nowMs)
+      : runner.failed('not-admitted', nowMs),
+  unreachable: (runner, _, nowMs) => runner.failed('unreachable', nowMs),
+  crashed: (runner, _, nowMs) => runner.failed('crashed', nowMs),
+  silent: (runner, _, nowMs) => runner.failed('silent', nowMs).noted(true),
   failed: runner => runner.noted(true),
 };
--- /dev/null
+++ b/packages/experiments/src/index.ts
@@ -0,0 +1,3 @@
+export * as engine from './engine.js';
+export * as loads from './loads.js';
+export * as play from './play.js';
