Large fleets: gossip in rounds, large hosts keep cells, foreign load is seen, busy hosts turn away

Cause: at 66 hosts each piece of news went to 8 hosts from each host that heard it (11,616 messages when a third leaves; now under 1,452), every host probed every other in turn, waiting tickets were asked for again every 300 ms, and keepers fell on hosts with 0.32 of a core. Changes: news collected for 150 ms, few watched hosts; keepers and hub on the hosts with the most processor time; callers are told of few hosts of a mixed zone, large ones more often; places that others use are taken from the load that answers report; a host 400 ms behind refuses at once; the share of an account that others use between two reports is expected.

--- a/packages/decisions/src/cell.test.ts
+++ b/packages/decisions/src/cell.test.ts
@@ -262,6 +262,53 @@
   },
 );
 
+test.test(
+  'places that others use, as the runner reports, are not granted for a while',
+  () => {
+    const roomy = {...server('s1'), slotTokens: 1e6};
+    let cell = cellWith(roomy).apply(ask(ticket('t1')), 0).cell;
+    cell = cell.apply(ask(ticket('t2')), 0).cell;
+    const measured = {
+      ...{prefillTokens: 100, outputTokens: 100, inUse: 5},
+      ...{firstTokenMs: 50, durationMs: 100},
+    };
+    const outcome = {kind: 'completed', measured} as const;
+    cell = cell.apply({kind: 'done', ticketId: 't1', outcome}, 100).cell;
+    const asked = cell.apply(ask(ticket('t3')), 101);
+    assert.deepEqual(grants(asked), []);
+    assert.deepEqual(grants(asked.cell.apply({kind: 'tick'}, 1700)), ['t3']);
+  },
+);
+
+test.test('a report that counts our own requests takes no place away', () => {
+  const roomy = {...server('s1'), slotTokens: 1e6};
+  let cell = cellWith(roomy);
+  for (let i = 0; i < 4; i++) {
+    cell = cell.apply(ask(ticket(`t${i}`)), 0).cell;
+  }
+  const measured = {
+    ...{prefillTokens: 100, outputTokens: 100, inUse: 4},
+    ...{firstTokenMs: 50, durationMs: 100},
+  };
+  const outcome = {kind: 'completed', measured} as const;
+  for (let i = 0; i < 4; i++) {
+    const done = {kind: 'done', ticketId: `t${i}`, outcome} as const;
+    cell = cell.apply(done, 900 + 200 * i).cell;
+  }
+  assert.deepEqual(grants(cell.apply(ask(ticket('next')), 1600)), ['next']);
+});
+
+test.test(
+  'keepers that know nothing of the runners do not all pick the same',
+  () => {
+    const servers = Array.from({length: 8}, (_, i) => server(`s${i}`));
+    const picked = Array.from({length: 40}, (_, i) =>
+      runnersOf(cellWith(...servers).apply(ask(ticket(`t${i}`)), 0)),
+    );
+    assert.ok(new Set(picked.flat()).size >= 6);
+  },
+);
+
 test.test('a suspect runs alone', () => {
   let cell = cellWith(server('s1'), server('s2'));
   cell = cell.apply(ask(ticket('t1')), 0).cell;
--- a/packages/decisions/src/cells.ts
+++ b/packages/decisions/src/cells.ts
@@ -42,15 +42,41 @@
   return service.backendServers.filter(server => server.zone === key.zone);
 }
 
-/** The host that keeps a cell: one in its zone if there is one, else any that serves. */
+/** Hosts with at least this part of the processor time of the largest one count as large. */
+const LARGE_PART = 0.75;
+
+/** The members that have the most processor time; all of them where it is alike or not known. */
+export function largest(
+  members: readonly membership.Member[],
+): readonly membership.Member[] {
+  const most = Math.max(0, ...members.map(member => member.cores ?? 0));
+  return members.filter(({cores = 0}) => cores >= most * LARGE_PART);
+}
+
+const keepersByMembers = new WeakMap<
+  readonly membership.Member[],
+  Map<string, string | undefined>
+>();
+
+/**
+ * The host that keeps a cell: one in its zone if there is one, else any that
+ * serves; a large one where hosts differ. What was found for a list of
+ * members is remembered as long as the list is in use.
+ */
 export function keeper(
   key: CellKey,
   members: readonly membership.Member[],
 ): string | undefined {
+  const known = keepersByMembers.get(members) ?? new Map();
+  keepersByMembers.set(members, known);
+  const name = cellName(key);
+  if (known.has(name)) return known.get(name);
   const near = members.filter(member => member.zone === key.zone);
-  const candidates = near.length > 0 ? near : members;
-  return rendezvous.owner(
-    cellName(key),
+  const candidates = largest(near.length > 0 ? near : members);
+  const found = rendezvous.owner(
+    name,
     candidates.map(member => member.host),
   );
+  known.set(name, found);
+  return found;
 }
--- a/packages/decisions/src/fit.ts
+++ b/packages/decisions/src/fit.ts
@@ -1,3 +1,4 @@
+import * as rendezvous from './rendezvous.js';
 import type * as runners from './runner.js';
 import type * as tickets from './ticket.js';
 
@@ -13,6 +14,13 @@
 /** What a runner that failed the request before counts as, in milliseconds of waiting. */
 const AVOID_COST_MS = 60_000;
 
+/**
+ * Runners that look alike are picked by turns, not in order: keepers that know
+ * nothing yet, or can't reach each other, would all pick the same one.
+ */
+const SPREAD_PART = 0.05;
+const HASH_RANGE = 2 ** 32;
+
 /** The runner that a ticket is best granted on now, out of those that are not kept for others. */
 export function best(
   all: readonly runners.Runner[],
@@ -34,7 +42,9 @@
     const costMs =
       runner.expectedMs(ticket) * (1 + runner.load) + queueMs + linkMs;
     const avoidMs = ticket.avoid.includes(runner.name) ? AVOID_COST_MS : 0;
-    const scoreMs = costMs * (1 + FAULT_WEIGHT * runner.faultRate) + avoidMs;
+    const turn = rendezvous.hash32(`${ticket.id}|${runner.name}`) / HASH_RANGE;
+    const factor = 1 + FAULT_WEIGHT * runner.faultRate + SPREAD_PART * turn;
+    const scoreMs = costMs * factor + avoidMs;
     if (scoreMs >= foundMs) continue;
     found = runner;
     foundMs = scoreMs;
--- a/packages/decisions/src/membership.ts
+++ b/packages/decisions/src/membership.ts
@@ -10,6 +10,8 @@
   /** Grows with every start of the host and every time it refutes a false report. */
   readonly incarnation: number;
   readonly state: MemberState;
+  /** The processor time that it may use, in cores; 0 or missing when it is not known. */
+  readonly cores?: number;
 }
 
 /** `serving` takes new work; `leaving` finishes what it has; `dead` is gone. */
--- a/packages/decisions/src/pace.ts
+++ b/packages/decisions/src/pace.ts
@@ -28,6 +28,8 @@
   readonly outputTokens: number;
   readonly firstTokenMs: number;
   readonly durationMs: number;
+  /** Requests at the backend server, running and waiting, as its answer reported them; missing when it did not. */
+  readonly inUse?: number;
 }
 
 function blend(old: number, fresh: number, weight: number): number {
--- a/packages/decisions/src/prefix.ts
+++ b/packages/decisions/src/prefix.ts
@@ -3,6 +3,9 @@
 const BLOCK_CHARS = 256;
 const MAX_BLOCKS = 32;
 
+/** Blocks that a guess remembers at most; it is copied with each request. */
+export const MAX_KNOWN_BLOCKS = 1024;
+
 /** Characters in one token, on average. */
 export const CHARS_PER_TOKEN = 4;
 
--- a/packages/decisions/src/runner.ts
+++ b/packages/decisions/src/runner.ts
@@ -29,6 +29,12 @@
   | {readonly kind: 'silent'}
   | {readonly kind: 'failed'};
 
+/** How long a runner's report of requests that are not ours counts, fading, in milliseconds. */
+const OTHERS_FADE_MS = 1500;
+
+/** The span over which the most own requests at once are remembered, in milliseconds; reports are as old as answers are long. */
+const PEAK_SPAN_MS = 1000;
+
 /** Whether a runner takes new work; `down` is retried after a backoff. */
 export type RunnerState = 'live' | 'leaving' | 'down';
 
@@ -53,6 +59,12 @@
   /** When the prompts that were sent to it so far are expected to be read: it reads one at a time. */
   readonly readUntilMs: number;
   readonly hasSuspect: boolean;
+  /** The most own requests at once in the present span and in the one before. */
+  readonly peaks: readonly [number, number];
+  readonly peakSpan: number;
+  /** Requests that were not granted by this cell, as the runner last reported. */
+  readonly others: number;
+  readonly othersAtMs: number;
   /** The share of recent requests that failed on it, the latest ones counting most. */
   readonly faultRate: number;
 }
@@ -90,6 +102,7 @@
       running: 0,
       readUntilMs: -Infinity,
       hasSuspect: false,
+      ...{peaks: [0, 0], peakSpan: 0, others: 0, othersAtMs: -Infinity},
       faultRate: 0,
     });
   }
@@ -163,11 +176,21 @@
     const {server, usedTokens, running} = this.fields;
     const maxRunning = Math.ceil(server.maxRunning * ceiling);
     return (
-      running < maxRunning &&
+      running + this.othersAt(nowMs) < maxRunning &&
       usedTokens + tickets.slotTokens(ticket) <= server.slotTokens * ceiling
     );
   }
 
+  /**
+   * Places that somebody else uses: other keepers, in a fleet that is cut
+   * apart, or hosts that had to choose without one.
+   */
+  othersAt(nowMs: number): number {
+    const {others, othersAtMs} = this.fields;
+    const fade = Math.max(0, 1 - (nowMs - othersAtMs) / OTHERS_FADE_MS);
+    return others === 0 ? 0 : Math.round(others * fade);
+  }
+
   /** The part of the runner that the ticket occupies, in tokens or in places, whichever is larger. */
   shareOf(ticket: tickets.Ticket): number {
     const {slotTokens, maxRunning} = this.fields.server;
@@ -211,11 +234,13 @@
   /** The runner with the ticket in a slot since `grantedMs`. */
   occupy(ticket: tickets.Ticket, grantedMs: number): Runner {
     const {usedTokens, running, cached, server} = this.fields;
-    const maxBlocks = Math.ceil(server.slotTokens / prefix.BLOCK_TOKENS);
+    const fitting = Math.ceil(server.slotTokens / prefix.BLOCK_TOKENS);
+    const maxBlocks = Math.min(fitting, prefix.MAX_KNOWN_BLOCKS);
     return this.with({
       usedTokens: usedTokens + tickets.slotTokens(ticket),
       running: running + 1,
       readUntilMs: this.firstTokenAtMs(ticket, grantedMs),
+      ...this.peaksAt(running + 1, grantedMs),
       cached: cached.used(ticket.chain, maxBlocks),
       hasSuspect: this.fields.hasSuspect || ticket.isSuspect,
     });
@@ -288,9 +313,33 @@
     return this.with({faultRate: faultRate + change});
   }
 
+  /** The remembered peaks with `running` own requests at `nowMs`. */
+  private peaksAt(
+    running: number,
+    nowMs: number,
+  ): Pick<RunnerFields, 'peaks' | 'peakSpan'> {
+    const span = Math.floor(nowMs / PEAK_SPAN_MS);
+    const {peaks, peakSpan} = this.fields;
+    const [present, before] = peaks;
+    if (span === peakSpan) {
+      return {peaks: [Math.max(present, running), before], peakSpan};
+    }
+    // A request that is still running was running in the span before, too.
+    const last = span === peakSpan + 1 ? present : this.fields.running;
+    return {peaks: [running, last], peakSpan: span};
+  }
+
+  /** The runner after it reported `inUse` requests; what can't be ours is somebody else's. */
+  private reported(inUse: number | undefined, nowMs: number): Runner {
+    if (inUse === undefined) return this;
+    const {peaks} = this.peaksAt(this.fields.running, nowMs);
+    const others = Math.max(0, inUse - Math.max(...peaks));
+    return this.with({others, othersAtMs: nowMs});
+  }
+
   /** The runner after a request completed on it. */
-  succeeded(measured: pace.Measured): Runner {
-    return this.with({
+  succeeded(measured: pace.Measured, nowMs: number): Runner {
+    return this.reported(measured.inUse, nowMs).with({
       state: this.fields.state === 'leaving' ? 'leaving' : 'live',
       failures: 0,
       pace: pace.learn(this.fields.pace, measured),
@@ -299,8 +348,8 @@
 }
 
 const OUTCOME_HANDLERS: OutcomeHandlers = {
-  completed: (runner, outcome) =>
-    runner.succeeded(outcome.measured).noted(false),
+  completed: (runner, outcome, nowMs) =>
+    runner.succeeded(outcome.measured, nowMs).noted(false),
   cancelled: runner => runner,
   'not-admitted': (runner, outcome, nowMs) =>
     outcome.isLeaving
--- a/packages/fleet/src/keeper.ts
+++ b/packages/fleet/src/keeper.ts
@@ -297,7 +297,10 @@
   const kind = done.outcome as OutcomeKind;
   if (kind === 'completed') {
     const {prefillTokens, outputTokens, firstTokenMs, durationMs} = done;
-    const measured = {prefillTokens, outputTokens, firstTokenMs, durationMs};
+    const inUse = done.inUse > 0 ? done.inUse : undefined;
+    const measured = {
+      ...{prefillTokens, outputTokens, firstTokenMs, durationMs, inUse},
+    };
     return {kind, measured};
   }
   if (kind === 'not-admitted') return {kind, isLeaving: done.isLeaving};
--- /dev/null
+++ b/packages/fleet/src/members.test.ts
@@ -0,0 +1,123 @@
+import * as assert from 'node:assert/strict';
+import * as test from 'node:test';
+
+import * as decisions from '@banyanhall/decisions';
+import type * as peers from '@banyanhall/peers';
+import type * as platform from '@banyanhall/platform';
+
+import * as membersModule from './members.js';
+import type * as routers from './router.js';
+import * as timelines from './timeline.js';
+
+const HOSTS = 66;
+const LEAVING = 22;
+const STEP_MS = 50;
+const SETTLE_MS = 5000;
+/** Hosts hear of a change within this time; callers keep address answers for as long. */
+const HEARD_WITHIN_MS = 2000;
+
+/** Hosts in memory on a simulated clock; messages take one step. */
+class TestFleet {
+  readonly members = new Map<string, membersModule.Members>();
+  readonly sent = new Map<string, number>();
+  private readonly rows: platform.table.Row[] = [];
+  private readonly mail: (() => void)[] = [];
+  private nowMs = 0;
+
+  constructor(private readonly timers: test.MockTimers) {
+    for (let i = 0; i < HOSTS; i++) this.add(`h${i}`);
+  }
+
+  async start(): Promise<void> {
+    for (const members of this.members.values()) await members.start();
+    await this.pass(SETTLE_MS);
+  }
+
+  /** Lets time pass. */
+  async pass(forMs: number): Promise<void> {
+    for (let endMs = this.nowMs + forMs; this.nowMs < endMs;) {
+      this.nowMs += STEP_MS;
+      this.timers.tick(STEP_MS);
+      for (const deliver of this.mail.splice(0)) deliver();
+      await Promise.resolve();
+    }
+  }
+
+  /** Messages of a kind that were sent so far. */
+  count(kind: string): number {
+    return this.sent.get(kind) ?? 0;
+  }
+
+  private add(host: string): void {
+    const clock = {nowMs: () => this.nowMs, monotonicMs: () => this.nowMs};
+    const send = (to: string, item: peers.messages.Item) => {
+      this.sent.set(item.kind, this.count(item.kind) + 1);
+      this.mail.push(() => this.deliver(host, to, item));
+      return true;
+    };
+    const table = {
+      scan: () => Promise.resolve(this.rows),
+      commit: ({writes}: platform.table.Transaction) => {
+        for (const {key, value} of writes) {
+          if (value) this.rows.push({key, value, version: 1});
+        }
+        return Promise.resolve({kind: 'committed' as const, version: 1});
+      },
+      read: () => Promise.resolve(new Map()),
+    };
+    this.members.set(
+      host,
+      new membersModule.Members({
+        ...{table, clock, timeline: new timelines.Timeline(host)},
+        router: {send} as unknown as routers.Router,
+        random: decisions.random.seeded(decisions.rendezvous.hash32(host)),
+        self: {
+          ...{host, region: 'r', zone: 'z', callerUrl: '', peerAddress: ''},
+          ...{incarnation: 1, state: 'serving'},
+        },
+        configNews: () => ({configNumber: 0, configAgeMs: 0}),
+        ...{onConfigNews: () => undefined, onChange: () => undefined},
+        ...{onGone: () => undefined, onSilent: () => undefined},
+      }),
+    );
+  }
+
+  private deliver(from: string, to: string, item: peers.messages.Item): void {
+    const members = this.members.get(to);
+    members?.heard(from);
+    if (item.kind === 'probe') members?.onProbe(from, item.body);
+    if (item.kind === 'ack') members?.onAck(from, item.body);
+    if (item.kind === 'news') members?.onNews(from, item.body.members);
+  }
+}
+
+test.test(
+  'a third of a large fleet leaves at once: all hear of it, in few messages',
+  async t => {
+    t.mock.timers.enable({apis: ['setInterval']});
+    const fleet = new TestFleet(t.mock.timers);
+    await fleet.start();
+    for (const members of fleet.members.values()) {
+      assert.equal(members.serving.length, HOSTS);
+    }
+    const before = fleet.count('news');
+    const all = [...fleet.members.values()];
+    for (const members of all.slice(0, LEAVING)) void members.leave();
+    await fleet.pass(HEARD_WITHIN_MS);
+    const wrong = all.filter(m => m.serving.length !== HOSTS - LEAVING);
+    assert.equal(wrong.length, 0);
+    // Far less than a message for each piece of news and host.
+    const messages = fleet.count('news') - before;
+    assert.ok(messages < (HOSTS * LEAVING) / 1, `${messages} messages`);
+  },
+);
+
+test.test('a host of a large fleet has dealings with few others', async t => {
+  t.mock.timers.enable({apis: ['setInterval']});
+  const fleet = new TestFleet(t.mock.timers);
+  await fleet.start();
+  const before = fleet.count('probe');
+  await fleet.pass(10_000);
+  const perHostAndS = (fleet.count('probe') - before) / HOSTS / 10;
+  assert.ok(perHostAndS <= 2.1, `${perHostAndS} probes a second`);
+});
--- a/packages/fleet/src/members.ts
+++ b/packages/fleet/src/members.ts
@@ -7,15 +7,27 @@
 
 const PROBE_MS = 500;
 const PROBES_EACH = 2;
+/** In a larger fleet a host has several watchers, so that fewer probes from each do. */
+const PROBES_EACH_IN_LARGE = 1;
 const SILENT_MS = 1200;
 const LEASE_MS = 30_000;
 const RENEW_MS = 10_000;
 const SCAN_MS = 30_000;
 const SCAN_LIMIT = 1000;
-const MIN_SCAN_GAP_MS = 1000;
+const MIN_SCAN_GAP_MS = 3000;
 const LEASE_PREFIX = 'host/';
-/** Fleets up to this size are told of news directly; larger ones by gossip with this many targets. */
+/** Fleets up to this size are told of news directly. */
 const FANOUT = 8;
+/** In larger fleets news is collected for this long, then goes to some contacts; they pass on what is new to them. */
+const GOSSIP_MS = 150;
+const GOSSIP_TARGETS = 4;
+/** How often a host passes one piece of news on; twice reaches all but one host in some hundreds. */
+const GOSSIP_ROUNDS = 2;
+/** Whom a host of a larger fleet probes: those next to it by hash, so that each has watchers, and some others. */
+const NEXT_WATCHED = 2;
+const OTHERS_WATCHED = 2;
+/** A host that was heard within this time is a contact. */
+const CONTACT_MS = 3000;
 
 type Member = decisions.membership.Member;
 
@@ -51,6 +63,11 @@
   readonly sentMs: number;
 }
 
+interface Rumour {
+  readonly member: Member;
+  readonly roundsLeft: number;
+}
+
 /** Which hosts there are: a lease in the table for joining, probes and gossip between hosts for liveness. */
 export class Members {
   private membership: decisions.membership.Membership;
@@ -60,6 +77,10 @@
   /** When hosts that are heard, but count as gone, were last told so. */
   private readonly doubtedMs = new Map<string, number>();
   private readonly timers: NodeJS.Timeout[] = [];
+  /** News that is still to be passed on, by host. */
+  private readonly rumours = new Map<string, Rumour>();
+  /** Kept between changes, so that what is derived from the list can be kept with it. */
+  private servingNow: readonly Member[];
   private sequence = 0;
   private lastScanMs = -Infinity;
   /** False until the table was read and written since the start; tried again with every tick. */
@@ -67,6 +88,7 @@
 
   constructor(private readonly options: MembersOptions) {
     this.membership = decisions.membership.Membership.of(options.self);
+    this.servingNow = this.membership.serving;
   }
 
   get view(): decisions.membership.Membership {
@@ -74,7 +96,7 @@
   }
 
   get serving(): readonly Member[] {
-    return this.membership.serving;
+    return this.servingNow;
   }
 
   /** The member of that name, if it is known. */
@@ -96,6 +118,7 @@
     await this.join();
     this.timers.push(
       setInterval(() => this.tick(), PROBE_MS),
+      setInterval(() => this.gossip(), GOSSIP_MS),
       setInterval(() => void this.renew(), RENEW_MS),
       setInterval(() => void this.scan(), SCAN_MS),
     );
@@ -138,6 +161,7 @@
 
   /** Takes in reports of other hosts; an old one is answered with what is known since. */
   onNews(from: string, reports: readonly peers.messages.Member[]): void {
+    const replies: Member[] = [];
     for (const report of reports) {
       const member = {
         ...report,
@@ -145,8 +169,9 @@
       };
       const merged = this.membership.merge(member, this.nowMs);
       this.merged(merged);
-      if (merged.reply) this.tell(from, [merged.reply]);
+      if (merged.reply) replies.push(merged.reply);
     }
+    if (replies.length > 0) this.tell(from, replies);
   }
 
   /** Answers a probe. */
@@ -171,18 +196,74 @@
     }
   }
 
-  /** Sends reports to every host of a small fleet, or to a few of a large one. */
-  spread(news: readonly Member[], except = ''): void {
-    for (const host of this.targets(except)) this.tell(host, news);
+  /** Looks at a host that left a message unanswered, at most once for each round of probes. */
+  doubt(host: string): void {
+    if (host === this.options.self.host || !this.membership.get(host)) return;
+    const isProbed = [...this.pending.values()].some(p => p.host === host);
+    if (!isProbed) this.probe(host);
   }
 
   /** The hosts that news goes to next. */
   targets(except = ''): readonly string[] {
-    const others = this.membership.members
-      .slice(1)
-      .map(member => member.host)
-      .filter(host => host !== except);
-    return decisions.random.sample(others, FANOUT, this.options.random);
+    const others = this.others.filter(host => host !== except);
+    const {random} = this.options;
+    if (others.length <= FANOUT) return others;
+    const contacts = this.contacts().filter(host => host !== except);
+    return decisions.random.sample(contacts, GOSSIP_TARGETS, random);
+  }
+
+  /** Tells the hosts of a small fleet at once; in a larger one the news waits for the next round. */
+  private spread(news: readonly Member[]): void {
+    if (this.others.length <= FANOUT) {
+      for (const host of this.targets()) this.tell(host, news);
+      return;
+    }
+    for (const member of news) {
+      const rumour = {member, roundsLeft: GOSSIP_ROUNDS};
+      this.rumours.set(member.host, rumour);
+    }
+  }
+
+  private gossip(): void {
+    if (this.rumours.size === 0) return;
+    const news = [...this.rumours.values()].map(({member}) => member);
+    for (const host of this.targets()) this.tell(host, news);
+    for (const [host, {member, roundsLeft}] of this.rumours) {
+      if (roundsLeft <= 1) this.rumours.delete(host);
+      else this.rumours.set(host, {member, roundsLeft: roundsLeft - 1});
+    }
+  }
+
+  private get others(): readonly string[] {
+    return this.membership.members.slice(1).map(member => member.host);
+  }
+
+  /** The hosts that this one has dealings with anyway, so that no link is opened for news alone. */
+  private contacts(): readonly string[] {
+    const sinceMs = this.nowMs - CONTACT_MS;
+    const watched = this.watched();
+    const heard = this.others.filter(
+      host => (this.heardMs.get(host) ?? -Infinity) >= sinceMs,
+    );
+    return [...new Set([...watched, ...heard])];
+  }
+
+  /** The hosts to probe; in a larger fleet always the same few while the fleet is the same. */
+  private watched(): readonly string[] {
+    const {others} = this;
+    if (others.length <= FANOUT) return others;
+    const {host: own} = this.options.self;
+    const ring = [...others, own]
+      .map(host => ({host, at: decisions.rendezvous.hash32(host)}))
+      .sort((a, b) => a.at - b.at)
+      .map(({host}) => host);
+    const start = ring.indexOf(own);
+    const next = Array.from(
+      {length: NEXT_WATCHED},
+      (_, i) => ring[(start + 1 + i) % ring.length],
+    );
+    const ranked = decisions.rendezvous.ranked(`watched by ${own}`, others);
+    return [...new Set([...next, ...ranked.slice(0, OTHERS_WATCHED)])];
   }
 
   private get nowMs(): number {
@@ -190,9 +271,10 @@
   }
 
   private tell(host: string, news: readonly Member[]): void {
+    const members = news.map(member => ({...member, cores: member.cores ?? 0}));
     this.options.router.send(host, {
       kind: 'news',
-      body: {members: news, crashes: [], cleared: []},
+      body: {members, crashes: [], cleared: []},
     });
   }
 
@@ -211,9 +293,11 @@
     }
     this.merged(this.membership.tick(nowMs));
     if (!this.hasJoined) void this.join();
-    const others = this.membership.members.slice(1).map(m => m.host);
     const {random} = this.options;
-    for (const host of decisions.random.sample(others, PROBES_EACH, random)) {
+    const watched = this.watched();
+    const isLarge = this.others.length > FANOUT;
+    const count = isLarge ? PROBES_EACH_IN_LARGE : PROBES_EACH;
+    for (const host of decisions.random.sample(watched, count, random)) {
       this.probe(host);
     }
   }
@@ -236,6 +320,7 @@
     const before = this.membership;
     this.membership = merged.membership;
     if (merged.news.length === 0) return;
+    this.servingNow = this.membership.serving;
     for (const member of merged.news) {
       const {host, state, incarnation} = member;
       this.options.timeline.record('member', '', {host, state, incarnation});
--- a/packages/fleet/src/slots.ts
+++ b/packages/fleet/src/slots.ts
@@ -5,7 +5,8 @@
 import type * as routers from './router.js';
 import type * as timelines from './timeline.js';
 
-const ASK_AGAIN_MS = 300;
+/** A ticket that waits is asked for again, in case its keeper has forgotten it. */
+const ASK_AGAIN_MS = 1000;
 /** How long a keeper may leave an ask without any answer; covers two ways between regions and a busy loop. */
 const ANSWER_TIMEOUT_MS = 150;
 const CHECK_MS = 50;
@@ -61,6 +62,8 @@
   readonly chooseAlone?: (
     wanted: Wanted,
   ) => decisions.config.BackendServer | undefined;
+  /** Told of a keeper that left an ask unanswered. */
+  readonly onUnanswered?: (keeper: string) => void;
 }
 
 interface Pending {
@@ -212,6 +215,7 @@
         outputTokens: Math.round(measured.outputTokens),
         firstTokenMs: Math.round(measured.firstTokenMs),
         durationMs: Math.round(measured.durationMs),
+        inUse: measured.inUse ?? 0,
       },
     });
   }
@@ -343,6 +347,7 @@
     const beforeMs = this.options.clock.monotonicMs() - ANSWER_TIMEOUT_MS;
     for (const pending of this.pending.values()) {
       if (pending.isAnswered || pending.askedMs > beforeMs) continue;
+      this.options.onUnanswered?.(pending.keeper);
       this.doWithoutKeeper(pending);
     }
   }
--- a/packages/gateway/src/bounds.ts
+++ b/packages/gateway/src/bounds.ts
@@ -6,6 +6,8 @@
 
 /** How often a host tells the hub what it used; hosts may overshoot by what they admit in that time. */
 const REPORT_MS = 300;
+/** In fleets above this size reports are sent every second time, to spare the hub. */
+const LARGE_FLEET = 16;
 /** Picks the hub by rendezvous. */
 const HUB_NAME = 'usage';
 const ACCOUNT_MARK = 'account/';
@@ -34,7 +36,9 @@
   readonly clock: decisions.clock.Clock;
   readonly settings: BoundSettings;
   /** All hosts that serve, this one included. */
-  readonly hosts: () => readonly string[];
+  readonly members: () => readonly decisions.membership.Member[];
+  /** Told of a hub that leaves reports unanswered. */
+  readonly onUnanswered: (hub: string) => void;
   readonly send: (host: string, item: peers.messages.Item) => void;
 }
 
@@ -43,6 +47,7 @@
   private readonly shared: routing.usage.SharedUsage;
   private readonly hub: routing.usage.Hub;
   private timer: NodeJS.Timeout | undefined;
+  private reports = 0;
 
   constructor(private readonly options: BoundsOptions) {
     const {host, settings, clock} = options;
@@ -64,7 +69,7 @@
   charge(accepted: requests.Accepted): requests.Refusal | undefined {
     const {account, demand} = accepted;
     if (!account || account.tokensPerS === 0) return undefined;
-    const {settings, hosts} = this.options;
+    const {settings, members} = this.options;
     const {allowanceToleranceTokens} = settings;
     const rate = {
       perS: account.tokensPerS,
@@ -72,12 +77,12 @@
     };
     const tokens = requests.chargedTokens(account, demand);
     const key = ACCOUNT_MARK + account.name;
-    if (this.shared.take(key, tokens, rate, hosts().length, this.nowMs)) {
+    if (this.shared.take(key, tokens, rate, members().length, this.nowMs)) {
       return undefined;
     }
     const waitMs = this.shared.waitMs(key, tokens, rate);
     const retryMs = Math.min(MAX_RETRY_MS, Math.max(MIN_RETRY_MS, waitMs));
-    const detail = `${account.name} asks ${tokens} of ${rate.perS}/s, short for ${Math.round(waitMs)} ms, ${hosts().length} hosts`;
+    const detail = `${account.name} asks ${tokens} of ${rate.perS}/s, short for ${Math.round(waitMs)} ms, ${members().length} hosts`;
     return requests.refusal(429, 'account-limit', retryMs, detail);
   }
 
@@ -95,13 +100,13 @@
 
   /** True when a request may be sent once more; the repeat is then counted. */
   mayRepeat(service: string): boolean {
-    const {settings, hosts} = this.options;
+    const {settings, members} = this.options;
     const nowMs = this.nowMs;
     const firsts = this.shared.sum(FIRST_MARK + service, nowMs);
     const allowed = settings.repeatShare * firsts + settings.repeatSlack;
     const limit = allowed * REPEAT_MARGIN;
     const key = REPEAT_MARK + service;
-    if (!this.shared.fits(key, limit, hosts().length, nowMs)) return false;
+    if (!this.shared.fits(key, limit, members().length, nowMs)) return false;
     this.shared.add(key, 1, nowMs);
     return true;
   }
@@ -123,11 +128,18 @@
   }
 
   private report(): void {
-    const {hosts, send} = this.options;
-    const hub = decisions.rendezvous.owner(HUB_NAME, hosts());
+    const {members, send, onUnanswered} = this.options;
+    this.reports++;
+    if (members().length > LARGE_FLEET && this.reports % 2 === 0) return;
+    const hub = decisions.rendezvous.owner(
+      HUB_NAME,
+      decisions.cells.largest(members()).map(member => member.host),
+    );
     const entries = [...this.shared.ownTotals].map(([key, amount]) => ({
       ...{key, amount},
     }));
-    if (hub) send(hub, {kind: 'usage', body: {entries}});
+    if (!hub) return;
+    if (!this.shared.isHearing(this.nowMs)) onUnanswered(hub);
+    send(hub, {kind: 'usage', body: {entries}});
   }
 }
--- a/packages/gateway/src/delivery.ts
+++ b/packages/gateway/src/delivery.ts
@@ -332,6 +332,7 @@
       outputTokens: directories.PLAIN_OUTPUT_TOKENS,
       firstTokenMs: 0,
       durationMs,
+      inUse: inUseOf(head.load),
     };
     this.options.slots.done(
       attempt.grant.ticketId,
@@ -415,6 +416,7 @@
         outputTokens,
         firstTokenMs,
         durationMs: nowMs - attempt.sentMs,
+        inUse: inUseOf(head.load),
       },
     });
     this.options.crashes.completed(accepted.fingerprint);
@@ -559,6 +561,12 @@
   'wrong-server': () => ({kind: 'not-admitted', isLeaving: true}),
 };
 
+function inUseOf(
+  load: forwarding.upstream.LoadReport | undefined,
+): number | undefined {
+  return load && load.running + load.waiting;
+}
+
 function ended(result: Ended): StepResult {
   return {kind: 'ended', ended: result};
 }
--- a/packages/gateway/src/host.ts
+++ b/packages/gateway/src/host.ts
@@ -14,21 +14,20 @@
 import type * as platform from '@banyanhall/platform';
 import type * as routing from '@banyanhall/routing';
 
+import * as addresses from './addresses.js';
 import * as bounds from './bounds.js';
 import * as callers from './caller.js';
 import * as deliveries from './delivery.js';
 import * as directories from './directory.js';
 import * as listeners from './listeners.js';
 import * as logs from './logs.js';
+import * as looplag from './looplag.js';
 import * as metricsModule from './metrics.js';
 import * as requests from './request.js';
 import * as rollouts from './rollouts.js';
 
 /** How long an address answer may be kept, in milliseconds. */
 const ADDRESS_KEEP_MS = 1000;
-const MAX_ADDRESSES = 64;
-/** Hosts of the caller's own zone, or region, that are enough not to name others. */
-const ENOUGH_NEAR = 2;
 /** From the stop signal to closing the listeners: callers may hold an old address answer for as long. */
 const STOP_LISTEN_MS = 4500;
 /** The part of the grace period that is left unused at its end. */
@@ -36,6 +35,10 @@
 const DRAIN_POLL_MS = 50;
 const MAX_HEADER_BYTES = 65_536;
 const DEFAULT_IDLE_MS = 15_000;
+/** A host that is this far behind turns new requests away at once; it could only answer them late. */
+const MAX_LAG_MS = 400;
+/** How soon a caller that was turned away for it may come back, to another host. */
+const LAG_RETRY_MS = 200;
 /** Shared by the hosts of one deployment; it keeps strangers' links out by mistake, not by force. */
 const LINK_SECRET = 'banyanhall';
 
@@ -56,6 +59,8 @@
   readonly metricsPath: string;
   /** From the stop signal to the kill. */
   readonly graceMs: number;
+  /** The processor time that the host may use, in cores; 0 when it is not known. */
+  readonly cores: number;
   readonly bounds: bounds.BoundSettings;
 }
 
@@ -103,6 +108,7 @@
   private readonly deliveries: deliveries.Deliveries;
   private readonly upstream: forwarding.upstream.Upstream;
   private readonly ingress: http.Server;
+  private readonly lag = new looplag.LoopLag(() => this.clock.monotonicMs());
   private readonly servers: http.Server[] = [];
   private configurationText = '';
   private inFlight = 0;
@@ -155,6 +161,7 @@
         ...{host, region, zone, incarnation: clock.nowMs()},
         callerUrl: settings.callerAddress,
         peerAddress: settings.peerAddress,
+        cores: settings.cores,
         state: 'serving',
       },
       configNews: () => ({
@@ -176,6 +183,7 @@
     this.slots = new slotsModule.Slots({
       ...{host, region, zone, clock, router, timeline, config, serving},
       chooseAlone: wanted => this.chooseAlone(wanted),
+      onUnanswered: keeper => this.members.doubt(keeper),
     });
     this.crashes = new crashesModule.Crashes({
       ...{host, clock, router, timeline},
@@ -183,8 +191,9 @@
     });
     this.bounds = new bounds.SharedBounds({
       ...{host, clock, settings: settings.bounds},
-      hosts: () => serving().map(member => member.host),
+      members: serving,
       send: (to, item) => router.send(to, item),
+      onUnanswered: hub => this.members.doubt(hub),
     });
     this.rollouts = new rollouts.Rollouts({
       ...{host, clock, random, router, directory, log},
@@ -235,6 +244,7 @@
       part.start();
     }
     this.rollouts.start();
+    this.lag.start();
     log.event('start', '', {
       ...{zone: settings.zone, callerAddress: settings.callerAddress},
       sinceProcessStartMs: Math.round(process.uptime() * 1000),
@@ -282,6 +292,7 @@
       part.stop();
     }
     this.rollouts.stop();
+    this.lag.stop();
     this.members.stop();
     this.options.log.event('stopped', '', {inFlight: this.inFlight});
     this.links.close();
@@ -346,12 +357,12 @@
     let ended: deliveries.Ended;
     try {
       const body = await listeners.readBody(request);
-      if (!body) {
+      if (!body || caller.isLeft) {
         log.event('caller-left', id, {stage: 'reading'});
         return;
       }
       const received = receivedOf(request, id, body, arrivedMs, names);
-      const checked = this.checked(received);
+      const checked = this.turnedAway() ?? this.checked(received);
       if (checked.kind === 'accepted') {
         route = checked.route.name;
         ended = await this.deliveries.run(checked, caller);
@@ -391,6 +402,14 @@
     });
   }
 
+  /** A refusal while this host is behind with its work. */
+  private turnedAway(): requests.Refusal | undefined {
+    const {lagMs} = this.lag;
+    if (lagMs < MAX_LAG_MS) return undefined;
+    const detail = `${Math.round(lagMs)} ms behind`;
+    return requests.refusal(503, 'host-behind', LAG_RETRY_MS, detail);
+  }
+
   private checked(
     received: requests.Received,
   ): (requests.Accepted & {readonly kind: 'accepted'}) | requests.Refusal {
@@ -436,13 +455,10 @@
     const serving = this.members.serving.filter(
       member => member.host !== settings.host || !this.isStopping,
     );
-    const near = serving.filter(m => m.zone === question.zone);
-    const nearby = serving.filter(m => m.region === question.region);
-    const chosen =
-      [near, nearby].find(some => some.length >= ENOUGH_NEAR) ?? serving;
-    const sample = decisions.random.sample(chosen, MAX_ADDRESSES, this.random);
-    const addresses = sample.map(member => member.callerUrl);
-    const body = endpoints.addressAnswer(addresses, ADDRESS_KEEP_MS);
+    const caller = response.socket?.remoteAddress ?? '';
+    const told = addresses.chosen(serving, {...question, caller});
+    const urls = told.map(member => member.callerUrl);
+    const body = endpoints.addressAnswer(urls, ADDRESS_KEEP_MS);
     listeners.end(response, 200, body, 'application/json');
   }
 
--- a/packages/gateway/src/request.ts
+++ b/packages/gateway/src/request.ts
@@ -172,7 +172,7 @@
 }
 
 /** Blocks of a prompt that are told to keepers at most. */
-const MAX_CHAIN = 64;
+const MAX_CHAIN = 16;
 
 /** Block hashes of a prompt's parts, as the guess of prefix caches takes them. */
 export function chainOf(demand: Demand | undefined): readonly number[] {
--- a/packages/routing/src/usage.test.ts
+++ b/packages/routing/src/usage.test.ts
@@ -155,3 +155,48 @@
     {seed: SEED, numRuns: RUNS},
   );
 });
+
+test.test(
+  'many hosts under a hot account stay near its limit in every window',
+  () => {
+    const names = Array.from({length: 66}, (_, i) => `h${i}`);
+    const hosts = new Map(
+      names.map(name => [name, new usage.SharedUsage(WINDOW_MS)]),
+    );
+    const hub = new usage.Hub('1');
+    const rate = {perS: 100_000, burst: 200_000};
+    const windowMs = 8 * S;
+    // The hub is busy, so that its sums come late.
+    const reportMs = 1100;
+    const taken: {readonly atMs: number; readonly amount: number}[] = [];
+    // Each host asks for its part of 7.5 times the rate, one request after the other.
+    const amount = 4000;
+    const stepMs = (amount * S) / (7.5 * rate.perS);
+    for (let nowMs = 0; nowMs < 30 * S; nowMs += stepMs) {
+      const isReport =
+        Math.floor(nowMs / reportMs) > (nowMs - stepMs) / reportMs;
+      if (isReport) {
+        for (const [name, shared] of hosts) {
+          hub.onTotals(name, new Map(shared.ownTotals));
+        }
+        for (const [name, shared] of hosts) {
+          shared.onSums(hub.sumsFor(name), nowMs);
+        }
+      }
+      const name = names[Math.floor(nowMs / stepMs) % names.length];
+      const shared = hosts.get(name) as usage.SharedUsage;
+      if (shared.take(KEY, amount, rate, names.length, nowMs)) {
+        taken.push({atMs: nowMs, amount});
+      }
+    }
+    const used = (fromMs: number) =>
+      taken
+        .filter(({atMs}) => atMs >= fromMs && atMs < fromMs + windowMs)
+        .reduce((sum, each) => sum + each.amount, 0);
+    const allowed = ((rate.perS * windowMs) / S + rate.burst) * 1.1;
+    for (let fromMs = 0; fromMs <= 22 * S; fromMs += 500) {
+      assert.ok(used(fromMs) <= allowed, `${used(fromMs)} from ${fromMs}`);
+    }
+    assert.ok(used(15 * S) >= 0.75 * rate.perS * (windowMs / S));
+  },
+);
--- a/packages/routing/src/usage.ts
+++ b/packages/routing/src/usage.ts
@@ -2,10 +2,17 @@
 export const BUCKET_MS = 500;
 
 /** How long what the hub said is taken as the state of the fleet, in milliseconds. */
-export const SUMS_TTL_MS = 1500;
+export const SUMS_TTL_MS = 1200;
 
 const MS_PER_S = 1000;
 
+/**
+ * What the others take is expected to go on as in their busiest report lately;
+ * the part of it that still counts at the next one. Without it all hosts draw
+ * on the same tokens at once, whenever there are some.
+ */
+const RATE_FADE = 0.95;
+
 /** Marks the total of what was put back; totals only grow, so that a lower one shows a new start. */
 const RETURNED_MARK = 'returned/';
 
@@ -98,6 +105,8 @@
 interface Level {
   tokens: number;
   atMs: number;
+  /** What the others took lately, for the time since the hub was heard. */
+  othersPerMs: number;
 }
 
 /**
@@ -106,8 +115,9 @@
  * of the others from the hub.
  *
  * Invariant: hosts that hear the hub admit no more than the limit, plus what
- * all of them admit between two reports. A host that doesn't hear it keeps to
- * its equal share: of a rate, from then on; of a count, by its own use alone.
+ * they admit between two reports beyond what they did before. A host that
+ * doesn't hear it keeps to its equal share: of a rate and of a burst, from
+ * then on; of a count, by its own use alone.
  */
 export class SharedUsage {
   private readonly totals = new Map<string, number>();
@@ -129,11 +139,13 @@
   /** Takes in what the hub says; the first word of a hub only sets where to count from. */
   onSums({epoch, sums}: Sums, nowMs: number): void {
     const isSame = epoch === this.known.epoch;
+    const sinceMs = nowMs - this.heardMs;
+    for (const level of this.levels.values()) level.othersPerMs *= RATE_FADE;
     for (const sum of sums) {
       if (!isSame) continue;
       const before = this.known.byKey.get(sum.key) ?? {total: 0, own: 0};
       const delta = sum.total - before.total - (sum.own - before.own);
-      if (delta > 0) this.usedElsewhere(sum.key, delta, nowMs);
+      if (delta > 0) this.usedElsewhere(sum.key, delta, sinceMs, nowMs);
     }
     const byKey = new Map(sums.map(sum => [sum.key, sum]));
     this.known = {epoch, byKey};
@@ -149,7 +161,9 @@
     nowMs: number,
   ): boolean {
     const level = this.refilled(key, rate, hosts, nowMs);
-    if (level.tokens < amount) return false;
+    const takenMs = Math.min(SUMS_TTL_MS, Math.max(0, nowMs - this.heardMs));
+    const taken = this.isHearing(nowMs) ? level.othersPerMs * takenMs : 0;
+    if (level.tokens - taken < amount) return false;
     level.tokens -= amount;
     this.count(key, amount);
     return true;
@@ -187,16 +201,27 @@
     return this.own.sum(key, nowMs, this.windowMs) + 1 <= limit / hosts;
   }
 
-  private isHearing(nowMs: number): boolean {
+  /** True while the hub answers. */
+  isHearing(nowMs: number): boolean {
     return nowMs - this.heardMs <= SUMS_TTL_MS;
   }
 
-  private usedElsewhere(name: string, amount: number, nowMs: number): void {
+  private usedElsewhere(
+    name: string,
+    amount: number,
+    sinceMs: number,
+    nowMs: number,
+  ): void {
     const isReturn = name.startsWith(RETURNED_MARK);
     const key = isReturn ? name.slice(RETURNED_MARK.length) : name;
     const level = this.levels.get(key);
-    if (level) level.tokens += isReturn ? amount : -amount;
-    else this.others.add(key, amount, nowMs, this.windowMs);
+    if (level) {
+      level.tokens += isReturn ? amount : -amount;
+      const perMs = sinceMs > 0 ? amount / sinceMs : 0;
+      if (!isReturn) level.othersPerMs = Math.max(level.othersPerMs, perMs);
+    } else {
+      this.others.add(key, amount, nowMs, this.windowMs);
+    }
   }
 
   private count(name: string, amount: number): void {
@@ -212,13 +237,15 @@
     const known = this.levels.get(key);
     if (!known) {
       // What was used before this host's first sight of the key is not known.
-      const level = {tokens: rate.burst / 2, atMs: nowMs};
+      const level = {tokens: rate.burst / 2, atMs: nowMs, othersPerMs: 0};
       this.levels.set(key, level);
       return level;
     }
     const part = this.isHearing(nowMs) ? 1 : 1 / hosts;
     const gained = (rate.perS * part * (nowMs - known.atMs)) / MS_PER_S;
-    known.tokens = Math.min(rate.burst, known.tokens + gained);
+    // Alone, a host keeps its share of a burst and of a second's refill.
+    const most = part === 1 ? rate.burst : (rate.burst + rate.perS) * part;
+    known.tokens = Math.min(most, known.tokens + gained);
     known.atMs = nowMs;
     return known;
   }
