Waits count urgent arrivals; refusals are early; requests of callers that left are not sent on

Change: the work ahead is shared by all runners at their own speeds and stretched by the inflow of classes that pass; waiting tickets are looked at again; returns are spread and fit into a third of the time left; what is read late counts from when it came, and nothing is sent after its caller's patience. The model: a caller that was told to return no longer leaves at its first patience; the crash check counts an engine from a second after its return, the stated longest pause before it is tried.

--- a/packages/decisions/src/cell.test.ts
+++ b/packages/decisions/src/cell.test.ts
@@ -453,3 +453,31 @@
   checks.note({kind: 'tick'}, {cell, effects: []}, 0);
   assert.match(checks.breaches.join(), /over its budget/);
 });
+
+test.test(
+  'a request that urgent arrivals will pass is refused at once, with a time to return',
+  () => {
+    const pace = {prefillTokensPerS: 100_000, decodeTokensPerS: 100};
+    const only = {...server('s1', 2), slotTokens: 1e6, expectedPace: pace};
+    let cell = cellWith(only);
+    // Urgent requests take the whole cell, one after the other.
+    for (let i = 0; i < 20; i++) {
+      const urgent = {tier: 1 as const, outputTokens: 20};
+      cell = cell.apply(ask(ticket(`u${i}`, urgent)), i * 100).cell;
+      const outcome = {kind: 'cancelled'} as const;
+      const done = {kind: 'done', ticketId: `u${i - 1}`, outcome} as const;
+      if (i > 0) cell = cell.apply(done, i * 100 + 99).cell;
+    }
+    cell = cell.apply(ask(ticket('w', {tier: 1, outputTokens: 60})), 2000).cell;
+    cell = cell.apply(ask(ticket('x', {tier: 1, outputTokens: 60})), 2000).cell;
+    const least = {
+      ...{tier: 3 as const, outputTokens: 60},
+      ...{deadlineMs: 12_000, firstByMs: 2800, onTimeByMs: 2400},
+    };
+    const applied = cell.apply(ask(ticket('least', least)), 2000);
+    assert.deepEqual(refusals(applied), ['least']);
+    const [refused] = applied.effects;
+    assert.ok(refused.kind === 'refuse' && refused.retryAfterMs >= 1000);
+    assert.ok(refused.retryAfterMs <= (12_000 - 2000) / 3);
+  },
+);
--- a/packages/decisions/src/cell.ts
+++ b/packages/decisions/src/cell.ts
@@ -2,7 +2,9 @@
 import type * as config from './config.js';
 import * as estimates from './estimate.js';
 import * as fit from './fit.js';
+import * as inflows from './inflow.js';
 import * as rank from './rank.js';
+import * as rendezvous from './rendezvous.js';
 import * as runners from './runner.js';
 import * as tickets from './ticket.js';
 
@@ -23,6 +25,17 @@
 
 const NO_RUNNER_RETRY_MS = 1000;
 
+/** A waiting ticket is given up only when this part of its expected wait is too long already: estimates err. */
+const SURE_PART = 0.7;
+
+/** A ticket is given up this long before its caller would leave, so that the caller hears of it, in milliseconds. */
+const SWEEP_AHEAD_MS = 100;
+
+/** Callers take a return into account up to this part of the time that they have left. */
+const MAX_RETURN_PART = 0.33;
+const RETURN_SPREAD = 0.5;
+const HASH_RANGE = 2 ** 32;
+
 /** A cell after an event, with what it wants done. */
 export interface Applied {
   readonly cell: Cell;
@@ -45,6 +58,7 @@
   readonly orphans: ReadonlyMap<string, number>;
   readonly cutoff: Cutoff | undefined;
   readonly recentUse: rank.RecentUse;
+  readonly inflow: inflows.Inflow;
 }
 
 type Handlers = {
@@ -78,6 +92,7 @@
       orphans: new Map(),
       cutoff: undefined,
       recentUse: rank.RecentUse.none,
+      inflow: inflows.Inflow.none,
     });
   }
 
@@ -95,8 +110,8 @@
 
   /** Expected times, as things stand. */
   get estimate(): estimates.Estimate {
-    const {runners: all, waiting, running} = this.fields;
-    return new estimates.Estimate(all, waiting, running);
+    const {runners: all, waiting, running, inflow} = this.fields;
+    return new estimates.Estimate(all, waiting, running, inflow);
   }
 
   /** True while the cell still collects reports and grants nothing. */
@@ -144,6 +159,16 @@
     if (estimate.usable(ticket, nowMs).length === 0) {
       return this.refuse(ticket, 'no-runner', NO_RUNNER_RETRY_MS);
     }
+    const cellMs = estimate.cellMs(ticket, nowMs);
+    const inflow = this.fields.inflow.add(ticket, cellMs, nowMs);
+    return this.with({inflow}).decide(ticket, estimate, nowMs);
+  }
+
+  private decide(
+    ticket: tickets.Ticket,
+    estimate: estimates.Estimate,
+    nowMs: number,
+  ): Applied {
     if (!estimate.canStart(ticket, 0, nowMs)) {
       return this.refuse(ticket, 'deadline', 0);
     }
@@ -165,7 +190,6 @@
   shed(ticket: tickets.Ticket, waitMs: number, nowMs: number): Applied {
     const lower = this.fields.waiting.filter(t => t.tier > ticket.tier);
     const shedding = [...lower].sort((a, b) => b.tier - a.tier);
-    const retryAfterMs = Math.ceil(Math.max(waitMs, CUTOFF_MS));
     const cutoff = this.cutoffAfter(ticket.tier, nowMs);
     const cell = this.with({
       waiting: this.fields.waiting.filter(t => t.tier <= ticket.tier),
@@ -175,7 +199,7 @@
       kind: 'refuse',
       ticket: shed,
       reason: 'overloaded',
-      retryAfterMs,
+      retryAfterMs: returnMs(shed, waitMs, nowMs),
     }));
     return {cell, effects};
   }
@@ -305,8 +329,10 @@
       this,
     );
     const effects: events.CellEffect[] = [];
-    const byTier = [...cell.waiting].sort((a, b) => b.tier - a.tier);
-    for (const ticket of byTier) {
+    const byTier = [...cell.estimate.waits(nowMs)].sort(
+      (a, b) => b.ticket.tier - a.ticket.tier,
+    );
+    for (const {ticket, waitMs} of byTier) {
       if (!cell.waiting.includes(ticket)) continue;
       if (cell.estimate.usable(ticket, nowMs).length === 0) {
         const refused = cell.refuse(ticket, 'no-runner', NO_RUNNER_RETRY_MS);
@@ -314,8 +340,11 @@
         effects.push(...refused.effects);
         continue;
       }
-      if (cell.estimate.canStart(ticket, 0, nowMs)) continue;
-      const applied = cell.withoutWaiting(ticket.id).shed(ticket, 0, nowMs);
+      const surelyMs = waitMs * SURE_PART + SWEEP_AHEAD_MS;
+      if (cell.estimate.canStart(ticket, surelyMs, nowMs)) continue;
+      const applied = cell
+        .withoutWaiting(ticket.id)
+        .shed(ticket, waitMs, nowMs);
       cell = applied.cell;
       effects.push(...applied.effects);
     }
@@ -381,6 +410,18 @@
   }
 }
 
+/** When a caller that is turned away may come back: after the wait that was too long, spread so that not all return at once. */
+function returnMs(
+  ticket: tickets.Ticket,
+  waitMs: number,
+  nowMs: number,
+): number {
+  const turn = rendezvous.hash32(ticket.id) / HASH_RANGE;
+  const wantedMs = Math.max(waitMs, CUTOFF_MS) * (1 + RETURN_SPREAD * turn);
+  const mostMs = (ticket.deadlineMs - nowMs) * MAX_RETURN_PART;
+  return Math.ceil(Math.max(CUTOFF_MS, Math.min(wantedMs, mostMs)));
+}
+
 const HANDLERS: Handlers = {
   ask: (cell, event, nowMs) => cell.admit(event.ticket, nowMs),
   cancel: (cell, event, nowMs) => ({
--- a/packages/decisions/src/estimate.ts
+++ b/packages/decisions/src/estimate.ts
@@ -1,5 +1,10 @@
-import * as runners from './runner.js';
-import type * as tickets from './ticket.js';
+import * as inflows from './inflow.js';
+import * as rank from './rank.js';
+import type * as runners from './runner.js';
+import * as tickets from './ticket.js';
+
+/** The least part of a cell that is taken to be left for a class, however much passes it. */
+const LEAST_LEFT = 0.1;
 
 /** Finds times for tickets from the runners of a cell and the work that is ahead. */
 export class Estimate {
@@ -7,6 +12,7 @@
     private readonly runners: ReadonlyMap<string, runners.Runner>,
     private readonly waiting: readonly tickets.Ticket[],
     private readonly running: ReadonlyMap<string, tickets.Running>,
+    private readonly inflow = inflows.Inflow.none,
   ) {}
 
   /** The runners that a ticket may use now or, when none is open, those that will be tried again. */
@@ -16,12 +22,6 @@
     return open.length > 0 ? open : able.filter(r => r.state === 'down');
   }
 
-  /** The time that the ticket takes on the runner that is fastest for it; Infinity when there is none. */
-  fastestMs(ticket: tickets.Ticket, nowMs: number): number {
-    const usable = this.usable(ticket, nowMs);
-    return Math.min(...usable.map(r => r.expectedMs(ticket)));
-  }
-
   /** True when a ticket that starts after `waitMs` is still answered in time by some runner. */
   canStart(ticket: tickets.Ticket, waitMs: number, nowMs: number): boolean {
     return this.usable(ticket, nowMs).some(r =>
@@ -29,51 +29,70 @@
     );
   }
 
-  /** The expected wait: work ahead of the ticket divided by the budget of the runners it may use. */
+  /** How long the ticket takes when all runners share it: what it adds to the wait of those behind it. */
+  cellMs(ticket: tickets.Ticket, nowMs: number): number {
+    let perMs = 0;
+    for (const runner of this.usable(ticket, nowMs)) {
+      const ownMs = Math.max(1, runner.expectedMs(ticket));
+      perMs += 1 / (ownMs * runner.shareOf(ticket));
+    }
+    return perMs === 0 ? 0 : 1 / perMs;
+  }
+
+  /** The expected wait: what is ahead, at the part of the cell that arrivals before the ticket's class leave. */
   waitMs(ticket: tickets.Ticket, nowMs: number): number {
     const usable = this.usable(ticket, nowMs);
-    const ahead = this.waiting.filter(other => isAhead(other, ticket));
+    const ahead = this.waiting.filter(
+      other => rank.compare(other, ticket, nowMs) <= 0,
+    );
     const fitsNow = usable.some(r => r.fits(ticket, nowMs));
     if (usable.length === 0 || (fitsNow && ahead.length === 0)) return 0;
-    const workMs =
-      this.runningMs(usable, nowMs) + this.workMs(ahead, usable, nowMs);
-    return workMs / (usable.length * runners.TIER_CEILING[ticket.tier]);
+    const aheadMs = ahead.reduce((sum, t) => sum + this.cellMs(t, nowMs), 0);
+    const freeMs = this.nextFreeMs(usable, nowMs);
+    return this.stretched(ticket, aheadMs + freeMs, nowMs);
+  }
+
+  /** The waits of all waiting tickets, in the order in which they are served. */
+  waits(
+    nowMs: number,
+  ): readonly {readonly ticket: tickets.Ticket; readonly waitMs: number}[] {
+    const sorted = [...this.waiting].sort((a, b) => rank.compare(a, b, nowMs));
+    let aheadMs = 0;
+    return sorted.map(ticket => {
+      const waitMs = this.stretched(ticket, aheadMs, nowMs);
+      aheadMs += this.cellMs(ticket, nowMs);
+      return {ticket, waitMs};
+    });
   }
 
   /** The expected wait of a ticket that comes last. */
   lastWaitMs(nowMs: number): number {
-    const open = [...this.runners.values()].filter(r => r.isOpen(nowMs));
-    if (open.length === 0) return 0;
-    return this.workMs(this.waiting, open, nowMs) / open.length;
+    return this.waiting.reduce((sum, t) => sum + this.cellMs(t, nowMs), 0);
   }
 
-  private workMs(
-    work: readonly tickets.Ticket[],
-    usable: readonly runners.Runner[],
+  /** A ticket that is late already, or will be, is passed by those of its own class as well. */
+  private stretched(
+    ticket: tickets.Ticket,
+    workMs: number,
     nowMs: number,
   ): number {
-    const [typical] = usable;
-    return work.reduce(
-      (sum, t) => sum + this.fastestMs(t, nowMs) * typical.shareOf(t),
-      0,
-    );
+    const before = this.inflow.before(ticket, nowMs);
+    const waitMs = workMs / Math.max(LEAST_LEFT, 1 - before);
+    if (nowMs + waitMs <= ticket.onTimeByMs) return waitMs;
+    const passing = before + this.inflow.own(ticket, nowMs);
+    return workMs / Math.max(LEAST_LEFT, 1 - passing);
   }
 
-  private runningMs(usable: readonly runners.Runner[], nowMs: number): number {
+  /** When the first place gets free, as far as the speeds are known. */
+  private nextFreeMs(usable: readonly runners.Runner[], nowMs: number): number {
     const byName = new Map(usable.map(r => [r.name, r]));
-    let workMs = 0;
+    let soonestMs = Infinity;
     for (const {ticket, runner, grantedMs} of this.running.values()) {
       const holder = byName.get(runner);
       if (!holder) continue;
       const leftMs = grantedMs + holder.expectedMs(ticket) - nowMs;
-      workMs += Math.max(0, leftMs) * holder.shareOf(ticket);
+      soonestMs = Math.min(soonestMs, Math.max(0, leftMs));
     }
-    return workMs;
+    return soonestMs === Infinity ? 0 : soonestMs;
   }
 }
-
-function isAhead(other: tickets.Ticket, ticket: tickets.Ticket): boolean {
-  if (other.tier !== ticket.tier) return other.tier < ticket.tier;
-  if (other.urgency !== ticket.urgency) return other.urgency < ticket.urgency;
-  return other.deadlineMs <= ticket.deadlineMs;
-}
--- a/packages/decisions/src/rank.ts
+++ b/packages/decisions/src/rank.ts
@@ -87,6 +87,30 @@
   return `${tier}/${account}`;
 }
 
+/** Orders tickets of one account by what they need: tier, urgency, those that can still be on time, the time by which they have to be. */
+export function compare(
+  a: tickets.Ticket,
+  b: tickets.Ticket,
+  nowMs: number,
+): number {
+  return compareClass(a, b) || compareTime(a, b, nowMs);
+}
+
+function compareClass(a: tickets.Ticket, b: tickets.Ticket): number {
+  return a.tier - b.tier || a.urgency - b.urgency;
+}
+
+function compareTime(
+  a: tickets.Ticket,
+  b: tickets.Ticket,
+  nowMs: number,
+): number {
+  return (
+    Number(nowMs > a.onTimeByMs) - Number(nowMs > b.onTimeByMs) ||
+    a.onTimeByMs - b.onTimeByMs
+  );
+}
+
 /**
  * Orders waiting tickets: tier, urgency, then accounts under their fair share, then
  * those that can still be on time, then the time by which they have to be,
@@ -109,11 +133,9 @@
   };
   return [...waiting].sort(
     (a, b) =>
-      a.tier - b.tier ||
-      a.urgency - b.urgency ||
+      compareClass(a, b) ||
       Number(isOver(a)) - Number(isOver(b)) ||
-      Number(nowMs > a.onTimeByMs) - Number(nowMs > b.onTimeByMs) ||
-      a.onTimeByMs - b.onTimeByMs ||
+      compareTime(a, b, nowMs) ||
       a.arrivedMs - b.arrivedMs ||
       (a.id < b.id ? -1 : 1),
   );
--- a/packages/experiments/src/play.ts
+++ b/packages/experiments/src/play.ts
@@ -4,6 +4,8 @@
 import type * as loads from './loads.js';
 
 const TICK_MS = 50;
+/** A cell tries an engine that refused connections within this time of its return. */
+const FOUND_AGAIN_MS = 1000;
 /** The time that a message between hosts, or to an engine, takes. */
 const MESSAGE_MS = 8;
 /** What of a caller's remaining time a stated return may take at most. */
@@ -111,6 +113,8 @@
   private readonly requests = new Map<string, Request>();
   private readonly engines = new Map<string, engines.Engine>();
   private readonly down = new Set<string>();
+  /** Engines whose slots a cell can't know to be there. */
+  private readonly unknown = new Set<string>();
   private cell: decisions.cell.Cell;
   private nowMs = 0;
   private usedSlotMs = 0;
@@ -174,7 +178,7 @@
     this.tell({kind: 'tick'});
     if (this.cell.waiting.length > 0) {
       this.usedSlotMs += this.cell.running.length * TICK_MS;
-      const up = this.load.engines - this.down.size;
+      const up = this.load.engines - this.unknown.size;
       this.waitedSlotMs += up * this.load.terms.slots * TICK_MS;
     }
     if (this.nowMs < endMs)
@@ -231,13 +235,12 @@
     const {kind, arrivedMs} = request;
     const deadlineMs = arrivedMs + kind.deadlineMs;
     const leaveMs = Math.min(deadlineMs, this.nowMs + kind.firstPatienceMs);
-    const {nowMs} = this;
+    const {returns} = request;
     this.at(leaveMs, () => {
-      if (request.firstMs === 0 && this.nowMs - nowMs >= 0) {
-        this.end(request, 'left', nowMs);
-      }
+      const isWaiting = request.returns === returns && request.firstMs === 0;
+      if (isWaiting) this.end(request, 'left');
     });
-    this.at(deadlineMs, () => this.end(request, 'left', nowMs));
+    this.at(deadlineMs, () => this.end(request, 'left'));
     const ticket: decisions.ticket.Ticket = {
       ...{id: `${request.id}/${request.returns}`, host: 'h', region: 'a'},
       ...{account: 'a', weight: 1, tier: kind.tier, urgency: kind.tier},
@@ -333,7 +336,9 @@
     const count = Math.ceil(names.length * share);
     for (const name of decisions.random.sample(names, count, this.random)) {
       this.down.add(name);
+      this.unknown.add(name);
       this.at(toMs, () => this.down.delete(name));
+      this.at(toMs + FOUND_AGAIN_MS, () => this.unknown.delete(name));
       this.engines.get(name)?.drop();
       for (const request of this.requests.values()) {
         if (request.engine === name && !request.isOver) this.crashed(request);
@@ -349,12 +354,8 @@
     if (!request.isOver) this.ask(request);
   }
 
-  private end(
-    request: Request,
-    end: Outcome['end'],
-    askedMs = -Infinity,
-  ): void {
-    if (request.isOver || askedMs > this.nowMs) return;
+  private end(request: Request, end: Outcome['end']): void {
+    if (request.isOver) return;
     request.isOver = true;
     if (end === 'left') {
       this.engines.get(request.engine)?.drop(request.id);
--- a/packages/gateway/src/delivery.ts
+++ b/packages/gateway/src/delivery.ts
@@ -215,7 +215,8 @@
     const {names} = dialect;
     const {entry, grant} = attempt;
     const leftMs = Math.floor(accepted.deadlineMs - this.nowMs);
-    if (leftMs <= 1) {
+    const hasPatience = progress.hasEvents || this.nowMs < accepted.firstByMs;
+    if (leftMs <= 1 || !hasPatience) {
       slots.done(grant.ticketId, {kind: 'cancelled'});
       return this.overdue(progress);
     }
--- a/packages/gateway/src/host.ts
+++ b/packages/gateway/src/host.ts
@@ -343,7 +343,8 @@
     response: http.ServerResponse,
   ): Promise<void> {
     const {dialect, log, metrics} = this.options;
-    const arrivedMs = this.clock.monotonicMs();
+    // A host that is behind reads a request later than it came.
+    const arrivedMs = this.clock.monotonicMs() - this.lag.lagMs;
     const {names} = dialect;
     const id = forwarding.headers.value(request.headers, names.requestId) ?? '';
     const caller = new callers.CallerAnswer(
