One hash to a fraction instead of three

cell, fit and addresses each divided a hash by its range; rendezvous.fraction serves all. Values move by less than 1e-9.

--- a/packages/decisions/src/cell.ts
+++ b/packages/decisions/src/cell.ts
@@ -34,7 +34,6 @@
 /** Callers take a return into account up to this part of the time that they have left. */
 const MAX_RETURN_PART = 0.33;
 const RETURN_SPREAD = 0.5;
-const HASH_RANGE = 2 ** 32;
 
 /** A cell after an event, with what it wants done. */
 export interface Applied {
@@ -416,7 +415,7 @@
   waitMs: number,
   nowMs: number,
 ): number {
-  const turn = rendezvous.hash32(ticket.id) / HASH_RANGE;
+  const turn = rendezvous.fraction(ticket.id);
   const wantedMs = Math.max(waitMs, CUTOFF_MS) * (1 + RETURN_SPREAD * turn);
   const mostMs = (ticket.deadlineMs - nowMs) * MAX_RETURN_PART;
   return Math.ceil(Math.max(CUTOFF_MS, Math.min(wantedMs, mostMs)));
--- a/packages/decisions/src/fit.ts
+++ b/packages/decisions/src/fit.ts
@@ -19,7 +19,6 @@
  * nothing yet, or can't reach each other, would all pick the same one.
  */
 const SPREAD_PART = 0.05;
-const HASH_RANGE = 2 ** 32;
 
 /** The runner that a ticket is best granted on now, out of those that are not kept for others. */
 export function best(
@@ -42,7 +41,7 @@
     const costMs =
       runner.expectedMs(ticket) * (1 + runner.load) + queueMs + linkMs;
     const avoidMs = ticket.avoid.includes(runner.name) ? AVOID_COST_MS : 0;
-    const turn = rendezvous.hash32(`${ticket.id}|${runner.name}`) / HASH_RANGE;
+    const turn = rendezvous.fraction(`${ticket.id}|${runner.name}`);
     const factor = 1 + FAULT_WEIGHT * runner.faultRate + SPREAD_PART * turn;
     const scoreMs = costMs * factor + avoidMs;
     if (scoreMs >= foundMs) continue;
--- a/packages/decisions/src/rendezvous.ts
+++ b/packages/decisions/src/rendezvous.ts
@@ -15,6 +15,13 @@
   return (h ^ (h >>> 16)) >>> 0;
 }
 
+const HASH_RANGE = 2 ** 32;
+
+/** A number between 0 and 1, both left out, that is the same for a string on every host. */
+export function fraction(text: string): number {
+  return (hash32(text) + 0.5) / HASH_RANGE;
+}
+
 /** Nodes ordered by rendezvous weight for `key`, the owner first; removing a node moves only its own keys. */
 export function ranked(
   key: string,
--- a/packages/gateway/src/addresses.ts
+++ b/packages/gateway/src/addresses.ts
@@ -7,7 +7,6 @@
 const ALIKE_FACTOR = 1.5;
 /** Of hosts that differ, a caller is told of this many: enough to lose some, few enough for weights to count. */
 const TOLD_OF_UNLIKE = 5;
-const HASH_RANGE = 2 ** 32;
 
 /** Who asks where to connect. */
 export interface Question {
@@ -42,6 +41,6 @@
 
 /** Weighted rendezvous: a host is ahead of others in proportion to its size. */
 function score(member: decisions.membership.Member, caller: string): number {
-  const hash = decisions.rendezvous.hash32(`${caller}|${member.host}`);
-  return (member.cores || 1) / -Math.log((hash + 0.5) / HASH_RANGE);
+  const turn = decisions.rendezvous.fraction(`${caller}|${member.host}`);
+  return (member.cores || 1) / -Math.log(turn);
 }
