Log where a configuration came from, and how old the store's answers are

The logs of a late configuration could not tell whether a host went by a hung call of its own or by a watcher's heartbeat. The event configuration gets 'from', a watcher's message the age of the store's last answer to it, and metrics the gauge banyanhall_store_answer_age_seconds. No decision changes.

--- a/packages/fleet/src/feedrelay.ts
+++ b/packages/fleet/src/feedrelay.ts
@@ -53,6 +53,8 @@
   wake: (() => void) | undefined;
   /** The revision up to which this host has read the store itself; undefined while the store does not answer. */
   readRevision: number | undefined;
+  /** When the store last answered this host, or a watcher passed on an answer, on the monotonic clock. */
+  answeredMs: number;
 }
 
 /** Returns the hosts that watch the store for `zone`. */
@@ -93,6 +95,13 @@
     clearInterval(this.timer);
   }
 
+  /** How long ago the table was last read that was not read for the longest time, in milliseconds; 0 before the first read. */
+  get oldestAnswerAgeMs(): number {
+    const nowMs = this.options.clock.monotonicMs();
+    const ages = [...this.tables.values()].map(t => nowMs - t.answeredMs);
+    return Math.max(0, ...ages);
+  }
+
   /** True while this host reads the store for others. */
   get isWatcher(): boolean {
     return this.currentWatchers().includes(this.options.host);
@@ -126,7 +135,9 @@
 
   /** Passes on a batch that this host has read from the store, if it is a watcher. */
   publish(name: string, batch: FeedBatch): void {
-    this.table(name).readRevision = batch.to;
+    const table = this.table(name);
+    table.readRevision = batch.to;
+    table.answeredMs = this.options.clock.monotonicMs();
     if (this.isWatcher) this.sendToFollowers(name, batch, true);
   }
 
@@ -147,7 +158,9 @@
       table.wake?.();
       return;
     }
-    table.heardMs.set(from, this.options.clock.monotonicMs());
+    const nowMs = this.options.clock.monotonicMs();
+    table.heardMs.set(from, nowMs);
+    table.answeredMs = Math.max(table.answeredMs, nowMs - body.ageMs);
     const batch = {
       from: body.fromRevision,
       to: body.toRevision,
@@ -188,6 +201,7 @@
     const table: Table = {
       ...{batches: [], newest: 0, heardMs: new Map()},
       ...{wake: undefined, readRevision: undefined},
+      answeredMs: this.options.clock.monotonicMs(),
     };
     this.tables.set(name, table);
     return table;
@@ -217,10 +231,13 @@
     isAnswering: boolean,
   ): void {
     const {zone, serving, send} = this.options;
+    const sinceAnswerMs =
+      this.options.clock.monotonicMs() - this.table(table).answeredMs;
     const bytes = rows.reduce((sum, {text}) => sum + (text?.length ?? 0), 0);
     const isRelayed = bytes <= MAX_RELAYED_BYTES;
     const body = {
       ...{table, isAnswering, toRevision: to},
+      ageMs: Math.round(sinceAnswerMs),
       fromRevision: isRelayed ? from : to,
       rows: (isRelayed ? rows : []).map(({key, text, revision}) => ({
         ...{key, text: text ?? '', isDeleted: text === undefined, revision},
--- a/packages/gateway/src/directory.ts
+++ b/packages/gateway/src/directory.ts
@@ -113,14 +113,20 @@
     return this.pools.get('service', name);
   }
 
-  /** Applies a configuration; returns false when its version is not newer than the one in force. */
-  onConfiguration(next: routing.configuration.Configuration): boolean {
+  /**
+   * Applies a configuration; returns false when its version is not newer than
+   * the one in force. `from` is logged: the store, a watcher of it or a host.
+   */
+  onConfiguration(
+    next: routing.configuration.Configuration,
+    from: string,
+  ): boolean {
     if (this.current && next.version <= this.current.version) return false;
     const isFirst = !this.current;
     this.current = next;
     this.changedMs = this.options.clock.monotonicMs();
     this.options.log.event('configuration', '', {
-      version: next.version,
+      ...{version: next.version, from},
       routes: next.fields.routes.length,
       accounts: next.fields.accounts
         .map(
--- a/packages/gateway/src/host.ts
+++ b/packages/gateway/src/host.ts
@@ -290,7 +290,7 @@
     await this.members.start();
   }
 
-  /** Applies a configuration's text; `from` is the store or the host that sent it. */
+  /** Applies a configuration's text; `from` is the store, a watcher of it or the host that sent it. */
   onConfigurationText(text: string, from: string): void {
     const {formats, log} = this.options;
     const next = formats.decodeConfiguration(text);
@@ -298,7 +298,7 @@
       log.event('bad-input', '', {what: 'configuration', from});
       return;
     }
-    if (!this.directory.onConfiguration(next)) return;
+    if (!this.directory.onConfiguration(next, from)) return;
     this.configurationText = text;
     this.ingress.keepAliveTimeout = next.limits.idleTimeoutMs;
     if (this.isReadyLogged) return;
@@ -556,6 +556,9 @@
     metrics.setGauge('backend_connections', 'Connections opened.', connections);
     const isWatcher = Number(this.feedRelay.isWatcher);
     metrics.setGauge('store_watcher', 'Reads the store for others.', isWatcher);
+    const ageHelp = 'Age of the oldest answer of the store in use, in seconds.';
+    const ageS = this.feedRelay.oldestAnswerAgeMs / 1000;
+    metrics.setGauge('store_answer_age_seconds', ageHelp, ageS);
     const {lowestTokens} = this.allowances;
     if (lowestTokens !== undefined) {
       const help = 'Lowest level of the allowances kept here, in tokens.';
