Bound for how long a hung feed call passes for an answer of the store

Callers saw a revoked key served and a new route refused with 404 for up to 6.5 s after the 2.5 s in which a change must be in force. Cause: the calls of the operator's table waited 7.2 s, and their client 7.9 s; a call that the store had swallowed looked all that while like one that had nothing to tell. On every host waited so; since hosts watch the store for each other, followers went by the heartbeats of watchers whose own calls hung. The class: silence, or a sign of life of the messenger, taken for confirmation by the source. The test 'one of the watchers may be frozen' now has the other watcher's calls answered while time passes: it had none for 4 s, which is the fault itself.

--- a/packages/fleet/src/feedrelay.test.ts
+++ b/packages/fleet/src/feedrelay.test.ts
@@ -8,6 +8,7 @@
 
 const TABLE = 'servers';
 const HEARTBEAT_MS = 500;
+const MAX_AGE_MS = 1300;
 
 /** A row of text `x` at a revision. */
 function row(revision: number, text = 'x'): feedrelay.FeedRow {
@@ -24,14 +25,21 @@
 /** Hosts whose messages arrive at once, except those from and to `frozen` hosts. */
 class Fleet {
   nowMs = 10_000;
+  /** How far the wall clock is ahead of the monotonic one. */
+  wallAheadMs = 0;
   messages = 0;
   readonly frozen = new Set<string>();
+  /** The hosts whose feed calls hang. */
+  readonly unanswered = new Set<string>();
   members: readonly decisions.membership.Member[];
   private readonly relays = new Map<string, feedrelay.FeedRelay>();
 
   constructor(hosts: number, zones: number) {
     this.members = Array.from({length: hosts}, (_, i) => memberOf(i, zones));
-    const clock = {nowMs: () => this.nowMs, monotonicMs: () => this.nowMs};
+    const clock = {
+      nowMs: () => this.nowMs + this.wallAheadMs,
+      monotonicMs: () => this.nowMs,
+    };
     for (const {host, zone} of this.members) {
       const relay = new feedrelay.FeedRelay({
         ...{host, zone, clock, serving: () => this.members},
@@ -56,20 +64,24 @@
     return this.of(found?.host ?? '');
   }
 
-  /** Lets time pass in heartbeats of all hosts that are not frozen. */
-  pass(forMs: number): void {
+  /**
+   * Lets time pass in heartbeats of all hosts that are not frozen. With a
+   * `revision`, the store answers each watcher as often that nothing changed.
+   */
+  pass(forMs: number, revision?: number): void {
     for (let ms = 0; ms < forMs; ms += HEARTBEAT_MS) {
       this.nowMs += HEARTBEAT_MS;
       for (const [host, relay] of this.relays) {
         if (!this.frozen.has(host)) relay.tick();
       }
+      if (revision !== undefined) this.read(revision, revision, []);
     }
   }
 
   /** All watchers read a batch from the store. */
   read(from: number, to: number, rows: readonly feedrelay.FeedRow[]): void {
     for (const host of this.watchers) {
-      if (!this.frozen.has(host))
+      if (!this.frozen.has(host) && !this.unanswered.has(host))
         this.of(host).publish(TABLE, {from, to, rows});
     }
   }
@@ -93,26 +105,29 @@
 test.test('a follower gets the changes of a watcher', async () => {
   const fleet = new Fleet(61, 6);
   fleet.read(5, 8, [row(7)]);
-  const batch = await fleet.follower.next(TABLE, 6);
+  const batch = await fleet.follower.next(TABLE, 6, MAX_AGE_MS);
   assert.deepEqual(batch, {from: 5, to: 8, rows: [row(7)]});
 });
 
 test.test('a follower waits for the next change', async () => {
   const fleet = new Fleet(61, 6);
   fleet.read(5, 8, [row(7)]);
-  const next = fleet.follower.next(TABLE, 8);
+  const next = fleet.follower.next(TABLE, 8, MAX_AGE_MS);
   fleet.read(8, 9, [row(9)]);
   assert.deepEqual((await next)?.rows, [row(9)]);
 });
 
 test.test('a host reads the store until it hears a watcher', async () => {
-  assert.equal(await new Fleet(61, 6).follower.next(TABLE, 1), undefined);
+  assert.equal(
+    await new Fleet(61, 6).follower.next(TABLE, 1, MAX_AGE_MS),
+    undefined,
+  );
 });
 
 test.test('a follower that missed a batch reads the store', async () => {
   const fleet = new Fleet(61, 6);
   fleet.read(5, 8, [row(7)]);
-  assert.equal(await fleet.follower.next(TABLE, 4), undefined);
+  assert.equal(await fleet.follower.next(TABLE, 4, MAX_AGE_MS), undefined);
 });
 
 test.test('one of the watchers may be frozen', async () => {
@@ -121,8 +136,8 @@
   const zone = fleet.members.find(m => fleet.of(m.host) === fleet.follower);
   const near = feedrelay.watchersOf(zone?.zone ?? '', fleet.members);
   fleet.frozen.add(near[0]);
-  fleet.pass(4000);
-  const next = fleet.follower.next(TABLE, 8);
+  fleet.pass(4000, 8);
+  const next = fleet.follower.next(TABLE, 8, MAX_AGE_MS);
   fleet.read(8, 10, [row(10)]);
   assert.deepEqual((await next)?.rows, [row(10)]);
 });
@@ -134,7 +149,41 @@
     fleet.read(5, 8, []);
     for (const host of fleet.watchers) fleet.frozen.add(host);
     fleet.pass(1500);
-    assert.equal(await fleet.follower.next(TABLE, 8), undefined);
+    assert.equal(await fleet.follower.next(TABLE, 8, MAX_AGE_MS), undefined);
+  },
+);
+
+// Guards against a change that comes late because followers take a watcher's heartbeat for news of the store.
+test.test(
+  'a follower reads the store when the calls of all watchers hang',
+  async () => {
+    const fleet = new Fleet(9, 3);
+    fleet.read(5, 8, []);
+    for (const host of fleet.watchers) fleet.unanswered.add(host);
+    fleet.pass(1500, 8);
+    assert.equal(await fleet.follower.next(TABLE, 8, MAX_AGE_MS), undefined);
+  },
+);
+
+test.test('the calls of one watcher may hang', async () => {
+  const fleet = new Fleet(9, 3);
+  fleet.read(5, 8, []);
+  fleet.unanswered.add(fleet.watchers[0]);
+  fleet.pass(4000, 8);
+  const next = fleet.follower.next(TABLE, 8, MAX_AGE_MS);
+  fleet.read(8, 10, [row(10)]);
+  assert.deepEqual((await next)?.rows, [row(10)]);
+});
+
+test.test(
+  'a watcher whose monotonic clock stood still says nothing until it has read',
+  async () => {
+    const fleet = new Fleet(9, 3);
+    fleet.read(5, 8, []);
+    fleet.wallAheadMs += 4000;
+    fleet.pass(HEARTBEAT_MS);
+    fleet.pass(1500);
+    assert.equal(await fleet.follower.next(TABLE, 8, MAX_AGE_MS), undefined);
   },
 );
 
@@ -146,16 +195,18 @@
   fleet.pass(4000);
   fleet.frozen.clear();
   fleet.pass(HEARTBEAT_MS);
-  assert.equal(await follower.next(TABLE, 8), undefined);
+  assert.equal(await follower.next(TABLE, 8, MAX_AGE_MS), undefined);
   fleet.read(8, 12, [row(11)]);
-  assert.deepEqual((await follower.next(TABLE, 8))?.rows, [row(11)]);
+  assert.deepEqual((await follower.next(TABLE, 8, MAX_AGE_MS))?.rows, [
+    row(11),
+  ]);
 });
 
 test.test('older news of another watcher is left out', async () => {
   const fleet = new Fleet(61, 6);
   fleet.read(5, 8, [row(7)]);
   fleet.read(3, 6, [row(4)]);
-  const next = fleet.follower.next(TABLE, 8);
+  const next = fleet.follower.next(TABLE, 8, MAX_AGE_MS);
   fleet.read(8, 9, [row(9)]);
   assert.equal((await next)?.to, 9);
 });
@@ -165,7 +216,7 @@
   async () => {
     const fleet = new Fleet(61, 6);
     fleet.read(5, 8, []);
-    const next = fleet.follower.next(TABLE, 8);
+    const next = fleet.follower.next(TABLE, 8, MAX_AGE_MS);
     for (const host of fleet.watchers) fleet.of(host).publishFailure(TABLE);
     assert.equal(await next, undefined);
   },
@@ -174,14 +225,14 @@
 test.test('large rows are announced, not passed on', async () => {
   const fleet = new Fleet(61, 6);
   fleet.read(5, 8, [row(7, 'x'.repeat(100_000))]);
-  assert.equal(await fleet.follower.next(TABLE, 6), undefined);
+  assert.equal(await fleet.follower.next(TABLE, 6, MAX_AGE_MS), undefined);
 });
 
 test.test('a follower that becomes a watcher reads the store', async () => {
   const fleet = new Fleet(61, 6);
   fleet.read(5, 8, []);
   const {follower, watchers} = fleet;
-  const next = follower.next(TABLE, 8);
+  const next = follower.next(TABLE, 8, MAX_AGE_MS);
   const isFollower = ({host}: decisions.membership.Member) =>
     fleet.of(host) === follower;
   fleet.members = fleet.members.filter(
--- a/packages/fleet/src/feedrelay.ts
+++ b/packages/fleet/src/feedrelay.ts
@@ -1,14 +1,13 @@
 /*
  * Lets a few hosts watch the store's tables for the others. Watchers pass on
- * what they read; a host that hears no current watcher reads the store itself.
+ * what they read and how long ago the store last answered; a host whose
+ * watchers have had no answer for too long reads the store itself.
  */
 import * as decisions from '@banyanhall/decisions';
 import type * as peers from '@banyanhall/peers';
 
 /** Interval at which a watcher confirms that its tables have not changed. */
 const HEARTBEAT_MS = 500;
-/** A watcher that was not heard for this long is not current. Together with a feed's pause it stays below the time in which hosts must react to the store. */
-const CURRENT_MS = 1300;
 /** Watchers in each zone, or of the whole fleet while it is small; one of them may fail unnoticed. */
 const WATCHERS_PER_ZONE = 2;
 const WATCHERS_OF_SMALL_FLEET = 3;
@@ -47,16 +46,26 @@
   batches: readonly FeedBatch[];
   /** The newest revision that a watcher has announced. */
   newest: number;
-  /** When each watcher was last heard, on the monotonic clock. */
-  readonly heardMs: Map<string, number>;
+  /** When the store last answered each watcher, on the monotonic clock of this host. */
+  readonly confirmedMs: Map<string, number>;
   /** Wakes the reader of the table; undefined while it does not wait. */
   wake: (() => void) | undefined;
   /** The revision up to which this host has read the store itself; undefined while the store does not answer. */
   readRevision: number | undefined;
-  /** When the store last answered this host, or a watcher passed on an answer, on the monotonic clock. */
+  /** When the store last answered this host itself, on the monotonic clock. */
   answeredMs: number;
 }
 
+/** When a heartbeat was sent. The monotonic clock stands still while a machine is suspended, the wall clock does not. */
+interface Tick {
+  readonly monotonicMs: number;
+  readonly wallMs: number;
+}
+
+function tickOf(clock: decisions.clock.Clock): Tick {
+  return {monotonicMs: clock.monotonicMs(), wallMs: clock.nowMs()};
+}
+
 /** Returns the hosts that watch the store for `zone`. */
 export function watchersOf(
   zone: string,
@@ -77,12 +86,12 @@
 export class FeedRelay {
   private readonly tables = new Map<string, Table>();
   private timer: NodeJS.Timeout | undefined;
-  private lastTickMs: number;
+  private lastTick: Tick;
   private watchers: readonly string[] = [];
   private watchersFor: readonly decisions.membership.Member[] | undefined;
 
   constructor(private readonly options: FeedRelayOptions) {
-    this.lastTickMs = options.clock.monotonicMs();
+    this.lastTick = tickOf(options.clock);
   }
 
   /** Starts the heartbeats of watchers. */
@@ -95,10 +104,12 @@
     clearInterval(this.timer);
   }
 
-  /** How long ago the table was last read that was not read for the longest time, in milliseconds; 0 before the first read. */
+  /** The age of the oldest answer of the store in use here, over all tables, in milliseconds. */
   get oldestAnswerAgeMs(): number {
-    const nowMs = this.options.clock.monotonicMs();
-    const ages = [...this.tables.values()].map(t => nowMs - t.answeredMs);
+    const {nowMs} = this;
+    const ages = [...this.tables.values()].map(
+      table => nowMs - Math.max(table.answeredMs, this.confirmedMs(table)),
+    );
     return Math.max(0, ...ages);
   }
 
@@ -110,9 +121,14 @@
   /**
    * Waits for the changes of a table after `revision` from a watcher. Resolves
    * to undefined when this host has to read them from the store: as a watcher,
-   * without a current one, or when it missed a batch.
+   * when it missed a batch, or when no watcher has had an answer from the store
+   * for `maxAgeMs`.
    */
-  async next(name: string, revision: number): Promise<FeedBatch | undefined> {
+  async next(
+    name: string,
+    revision: number,
+    maxAgeMs: number,
+  ): Promise<FeedBatch | undefined> {
     const table = this.table(name);
     for (;;) {
       if (this.isWatcher) return undefined;
@@ -120,7 +136,7 @@
       const batch = table.batches.find(({from}) => from <= revision);
       if (batch) return batch;
       if (table.newest > revision) return undefined;
-      const leftMs = this.currentForMs(table);
+      const leftMs = this.confirmedMs(table) + maxAgeMs - this.nowMs;
       if (leftMs <= 0) return undefined;
       await new Promise<void>(resolve => {
         const timer = setTimeout(resolve, leftMs);
@@ -137,7 +153,7 @@
   publish(name: string, batch: FeedBatch): void {
     const table = this.table(name);
     table.readRevision = batch.to;
-    table.answeredMs = this.options.clock.monotonicMs();
+    table.answeredMs = this.nowMs;
     if (this.isWatcher) this.sendToFollowers(name, batch, true);
   }
 
@@ -154,13 +170,11 @@
   onFeed(from: string, body: peers.messages.MessageBodies['feed']): void {
     const table = this.table(body.table);
     if (!body.isAnswering) {
-      table.heardMs.delete(from);
+      table.confirmedMs.delete(from);
       table.wake?.();
       return;
     }
-    const nowMs = this.options.clock.monotonicMs();
-    table.heardMs.set(from, nowMs);
-    table.answeredMs = Math.max(table.answeredMs, nowMs - body.ageMs);
+    table.confirmedMs.set(from, this.nowMs - body.ageMs);
     const batch = {
       from: body.fromRevision,
       to: body.toRevision,
@@ -182,9 +196,13 @@
 
   /** Sends the heartbeats of a watcher; called on a timer. */
   tick(): void {
-    const nowMs = this.options.clock.monotonicMs();
-    const wasFrozen = nowMs - this.lastTickMs > 2 * HEARTBEAT_MS;
-    this.lastTickMs = nowMs;
+    const tick = tickOf(this.options.clock);
+    const pausedMs = Math.max(
+      tick.monotonicMs - this.lastTick.monotonicMs,
+      tick.wallMs - this.lastTick.wallMs,
+    );
+    const wasFrozen = pausedMs > 2 * HEARTBEAT_MS;
+    this.lastTick = tick;
     for (const [name, table] of this.tables) {
       // After a pause this host does not know what it missed until it reads the store again.
       if (wasFrozen) table.readRevision = undefined;
@@ -195,13 +213,16 @@
     }
   }
 
+  private get nowMs(): number {
+    return this.options.clock.monotonicMs();
+  }
+
   private table(name: string): Table {
     const known = this.tables.get(name);
     if (known) return known;
     const table: Table = {
-      ...{batches: [], newest: 0, heardMs: new Map()},
-      ...{wake: undefined, readRevision: undefined},
-      answeredMs: this.options.clock.monotonicMs(),
+      ...{batches: [], newest: 0, confirmedMs: new Map()},
+      ...{wake: undefined, readRevision: undefined, answeredMs: this.nowMs},
     };
     this.tables.set(name, table);
     return table;
@@ -216,13 +237,10 @@
     return this.watchers;
   }
 
-  /** Returns for how long a watcher of the table is still current. */
-  private currentForMs({heardMs}: Table): number {
-    const nowMs = this.options.clock.monotonicMs();
-    const left = this.currentWatchers().map(
-      host => (heardMs.get(host) ?? -Infinity) + CURRENT_MS - nowMs,
-    );
-    return Math.max(0, ...left);
+  /** Returns when the store last answered a watcher of the table. */
+  private confirmedMs({confirmedMs}: Table): number {
+    const times = this.currentWatchers().map(host => confirmedMs.get(host));
+    return Math.max(...times.map(ms => ms ?? -Infinity));
   }
 
   private sendToFollowers(
@@ -231,13 +249,11 @@
     isAnswering: boolean,
   ): void {
     const {zone, serving, send} = this.options;
-    const sinceAnswerMs =
-      this.options.clock.monotonicMs() - this.table(table).answeredMs;
+    const ageMs = Math.round(this.nowMs - this.table(table).answeredMs);
     const bytes = rows.reduce((sum, {text}) => sum + (text?.length ?? 0), 0);
     const isRelayed = bytes <= MAX_RELAYED_BYTES;
     const body = {
-      ...{table, isAnswering, toRevision: to},
-      ageMs: Math.round(sinceAnswerMs),
+      ...{table, isAnswering, ageMs, toRevision: to},
       fromRevision: isRelayed ? from : to,
       rows: (isRelayed ? rows : []).map(({key, text, revision}) => ({
         ...{key, text: text ?? '', isDeleted: text === undefined, revision},
