Log the prompt parts and unanswered requests at a backend server's crash

The line 'suspect' counted the requests in flight, so it could not tell whether crashes have a part in common. It now has the crash's id, the ids of the requests whose answer had not begun and their shared prompt parts; crash records carry both to other hosts. No decision changes.

--- a/packages/daemon/src/dispatcher.test.ts
+++ b/packages/daemon/src/dispatcher.test.ts
@@ -38,7 +38,7 @@
     claims: {},
     crashes: {
       statusOf: () => 'clear',
-      trackInFlight: () => () => undefined,
+      trackInFlight: () => ({markBegun: () => undefined, end: () => undefined}),
       recordCrash: (server: string) => crashed.push(server),
     },
     samples: {
--- a/packages/daemon/src/dispatcher.ts
+++ b/packages/daemon/src/dispatcher.ts
@@ -226,7 +226,8 @@
     const {requestId, fingerprint} = request;
     const {crashes, timeline, slots} = this.options;
     const server = grant.server.name;
-    const endInFlight = crashes.trackInFlight(server, requestId, fingerprint);
+    const identity = {requestId, fingerprint, parts: []};
+    const {end: endInFlight} = crashes.trackInFlight(server, identity);
     const dispatchedMs = this.nowMs;
     timeline.record('dispatched', requestId, {server, version});
     try {
--- a/packages/decisions/src/suspects.test.ts
+++ b/packages/decisions/src/suspects.test.ts
@@ -19,6 +19,8 @@
   const requests = fingerprints.map(fingerprint => ({
     fingerprint,
     dispatchedMs: atMs - RUN_MS,
+    parts: [],
+    hasBegun: false,
   }));
   return {crashId, atMs, backendServer, requests};
 }
--- a/packages/decisions/src/suspects.ts
+++ b/packages/decisions/src/suspects.ts
@@ -8,6 +8,10 @@
 export interface InFlightRequest {
   readonly fingerprint: string;
   readonly dispatchedMs: number;
+  /** The prompt parts that other requests may share. */
+  readonly parts: readonly string[];
+  /** True when the backend server had begun to answer. */
+  readonly hasBegun: boolean;
 }
 
 /** One host's report of a backend server's crash, with the requests that this host had in flight there. */
--- a/packages/fleet/src/crashes.ts
+++ b/packages/fleet/src/crashes.ts
@@ -15,6 +15,22 @@
   readonly targets: (except: string) => readonly string[];
 }
 
+/** A request that is tracked while it is in flight on a backend server. */
+export interface TrackedRequest {
+  /** Records that the backend server has begun to answer. */
+  markBegun(): void;
+  /** Ends the tracking. */
+  end(): void;
+}
+
+/** What identifies a request in crash records. */
+export interface RequestIdentity {
+  readonly requestId: string;
+  readonly fingerprint: string;
+  /** The prompt parts that other requests may share. */
+  readonly parts: readonly string[];
+}
+
 /** Tracks suspect requests, which were in flight when backend servers crashed, and shares them with other hosts. */
 export class Crashes {
   private suspects = decisions.suspects.SuspectRequests.empty;
@@ -51,17 +67,29 @@
     return this.suspects.statusOf(fingerprint);
   }
 
-  /** Records a request as in flight on a backend server; the returned function removes it. */
-  trackInFlight(
-    server: string,
-    requestId: string,
-    fingerprint: string,
-  ): () => void {
-    const requests = this.inFlight.get(server) ?? new Map();
+  /** Records a request as in flight on a backend server. */
+  trackInFlight(server: string, request: RequestIdentity): TrackedRequest {
+    const {requestId, fingerprint, parts} = request;
+    const requests =
+      this.inFlight.get(server) ??
+      new Map<string, decisions.suspects.InFlightRequest>();
     this.inFlight.set(server, requests);
     const dispatchedMs = this.options.clock.nowMs();
-    requests.set(requestId, {fingerprint, dispatchedMs});
-    return () => requests.delete(requestId);
+    const entry = {fingerprint, dispatchedMs, parts};
+    requests.set(requestId, {...entry, hasBegun: false});
+    return {
+      markBegun: () => {
+        if (!requests.has(requestId)) return;
+        requests.set(requestId, {...entry, hasBegun: true});
+      },
+      end: () => {
+        requests.delete(requestId);
+        const isLast = requests.size === 0;
+        if (isLast && this.inFlight.get(server) === requests) {
+          this.inFlight.delete(server);
+        }
+      },
+    };
   }
 
   /**
@@ -80,10 +108,12 @@
       atMs: nowMs,
       requests: [...requests.values()],
     };
+    const unbegun = [...requests].filter(([, request]) => !request.hasBegun);
     requests.clear();
     this.options.timeline.record('crash', '', {
-      server,
-      requests: crash.requests.length,
+      ...{server, crashId: crash.crashId, requests: crash.requests.length},
+      unbegun: unbegun.map(([requestId]) => requestId).join(' '),
+      parts: [...new Set(unbegun.flatMap(([, {parts}]) => parts))].join(' '),
     });
     this.add([crash], '');
   }
--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -62,6 +62,11 @@
   readonly sentMs: number;
 }
 
+/** An attempt in flight. */
+interface SentAttempt extends Attempt {
+  readonly tracked: crashesModule.TrackedRequest;
+}
+
 /** The state of a request over its attempts. */
 interface Progress {
   attempts: number;
@@ -262,11 +267,10 @@
     if (progress.lastEventId !== undefined) {
       addedHeaders[names.lastEventId] = progress.lastEventId;
     }
-    const stopTracking = crashes.trackInFlight(
-      entry.id,
-      received.id,
-      accepted.fingerprint,
-    );
+    const tracked = crashes.trackInFlight(entry.id, {
+      ...{requestId: received.id, fingerprint: accepted.fingerprint},
+      parts: accepted.sharedParts,
+    });
     log.event('sent', received.id, {
       server: entry.id,
       address: entry.address,
@@ -309,14 +313,14 @@
         accepted,
         caller,
         progress,
-        attempt,
+        {...attempt, tracked},
         result,
         signal,
         timer,
       );
     } finally {
       clearTimeout(timer);
-      stopTracking();
+      tracked.end();
     }
   }
 
@@ -325,7 +329,7 @@
     accepted: requests.AcceptedRequest,
     caller: callerresponses.CallerResponse,
     progress: Progress,
-    attempt: Attempt,
+    attempt: SentAttempt,
     head: forwarding.upstream.ResponseHead,
     signal: AbortSignal,
     timer: NodeJS.Timeout,
@@ -406,7 +410,7 @@
     accepted: requests.AcceptedRequest,
     caller: callerresponses.CallerResponse,
     progress: Progress,
-    attempt: Attempt,
+    attempt: SentAttempt,
     head: forwarding.upstream.ResponseHead,
     signal: AbortSignal,
     timer: NodeJS.Timeout,
@@ -431,7 +435,10 @@
         eventCount += batch.count;
         if (batch.lastId !== undefined) progress.lastEventId = batch.lastId;
         if (bytes.length === 0) continue;
-        if (firstByteMs === 0) firstByteMs = this.nowMs;
+        if (firstByteMs === 0) {
+          firstByteMs = this.nowMs;
+          attempt.tracked.markBegun();
+        }
         progress.hasRelayedBytes = true;
         if (!caller.isStarted) {
           this.observeFirstByte(accepted);
--- a/packages/gateway/src/request.ts
+++ b/packages/gateway/src/request.ts
@@ -67,6 +67,8 @@
   readonly onTimeDeadlineMs: number;
   /** Equal for requests with the same account, method, target and body. */
   readonly fingerprint: string;
+  /** The service and the ids of the prompt parts that other requests may share: all but the last. */
+  readonly sharedParts: readonly string[];
 }
 
 /** A rejection by this host, sent to the caller as an error response. */
@@ -131,9 +133,22 @@
       received.arrivedMs + Math.min(callerTimeoutMs, route.callerPatienceMs),
     onTimeDeadlineMs: received.arrivedMs + route.objectiveMs,
     fingerprint: fingerprintOf(text, received.body),
+    sharedParts: sharedPartsOf(service, demand),
   };
 }
 
+/** The most parts of a prompt that are compared with those of other requests. */
+const MAX_SHARED_PARTS = 64;
+
+/** Names prompt parts together with the service, since another engine may well serve a part that one can't. */
+function sharedPartsOf(
+  service: string,
+  demand: TokenDemand | undefined,
+): readonly string[] {
+  const shared = demand?.parts.slice(0, -1) ?? [];
+  return shared.slice(0, MAX_SHARED_PARTS).map(({id}) => `${service}/${id}`);
+}
+
 /** The tokens that a request takes from its account's rate limit. */
 export function chargedTokens(
   account: routing.configuration.Account,
