Refuse the prompt part that explains the crashes of backend servers

Callers saw streams cut and four in ten requests of a second rejected as overloaded while 16 backend servers ended one after the other within 20 s. Cause: what was held against a request was a digest of its whole content, so evidence about unlike requests with one deadly part was never added up. The class: evidence kept under a key that the adversary varies. Beside it, all requests in flight at a crash became suspect, also those that had been answering for seconds; each then reserved a runner of its own, and a suspect that found none shed all lower tiers: the 714 rejections. Change: decisions/suspectparts finds the part that explains the crashes, by unanswered requests only; answers clear, explained crashes accuse no other part, a refused part is tried again after 30 s and longer. One whose answer had begun is no suspect after one crash. Suspects run one at a time in one cell, and are refused without shedding others. A request that becomes suspect while it waits gives its slot back. Hosts that join or return are sent the records, which the gateway never did. story prints the crashes behind a refusal; the metric refused_parts counts.

--- a/packages/cli/src/requestlog.test.ts
+++ b/packages/cli/src/requestlog.test.ts
@@ -22,3 +22,18 @@
     assert.deepEqual(requestlog.formatRequestLog(lines, 'r2'), []);
   },
 );
+
+test.test('the story of a refused request has the crashes behind it', () => {
+  const crash = (time: number, crashId: string) =>
+    `{"level":"info","time":${time},"host":"h1","event":"suspect","crashId":"${crashId}"}`;
+  const detail = ',"detail":"parts s/p, crashes h1/1/1 h2/2/1"';
+  const lines = [
+    crash(10, 'h1/1/1'),
+    crash(20, 'h3/9/9'),
+    logLine(30, 'h2', 'refused', detail),
+  ].flatMap(text => requestlog.parseLogLine(text) ?? []);
+  assert.deepEqual(requestlog.formatRequestLog(lines, 'r1'), [
+    '     0 ms  h1  suspect  crashId=h1/1/1',
+    '    20 ms  h2  refused  detail=parts s/p, crashes h1/1/1 h2/2/1',
+  ]);
+});
--- a/packages/cli/src/requestlog.ts
+++ b/packages/cli/src/requestlog.ts
@@ -35,13 +35,31 @@
   }
 }
 
-/** Formats the log lines of one request in order of time, with the time since the first of them. */
+/** True if a line is about the request, or about a crash that the request is refused for. */
+function isAbout(
+  line: LogLine,
+  requestId: string,
+  refusals: readonly string[],
+): boolean {
+  if (line.requestId === requestId) return true;
+  const {crashId} = line;
+  if (typeof crashId !== 'string') return false;
+  return refusals.some(detail => detail.split(' ').includes(crashId));
+}
+
+/**
+ * Formats the log lines of one request in order of time, with the time since
+ * the first of them. Those of the crashes that it was refused for are included.
+ */
 export function formatRequestLog(
   lines: readonly LogLine[],
   requestId: string,
 ): readonly string[] {
+  const refusals = lines
+    .filter(line => line.requestId === requestId && line.event === 'refused')
+    .map(line => String(line.detail));
   const own = lines
-    .filter(line => line.requestId === requestId)
+    .filter(line => isAbout(line, requestId, refusals))
     .sort((a, b) => a.time - b.time);
   const startMs = own[0]?.time ?? 0;
   return own.map(line => {
@@ -74,9 +92,9 @@
     const lines: LogLine[] = [];
     for (const input of inputs) {
       for await (const text of readline.createInterface({input})) {
-        const line = text.includes(this.requestId)
-          ? parseLogLine(text)
-          : undefined;
+        const isNeeded =
+          text.includes(this.requestId) || text.includes('"crashId"');
+        const line = isNeeded ? parseLogLine(text) : undefined;
         if (line) lines.push(line);
       }
     }
--- a/packages/decisions/src/cell.test.ts
+++ b/packages/decisions/src/cell.test.ts
@@ -324,6 +324,33 @@
   assert.equal(runnerOf('t2'), runnerOf('t1'));
 });
 
+test.test('suspect requests run one at a time', () => {
+  let cell = cellWith(server('s1'), server('s2'), server('s3'));
+  cell = cell.apply(ask(ticket('odd1', {isSuspect: true})), 0).cell;
+  const second = cell.apply(ask(ticket('odd2', {isSuspect: true})), 0);
+  assert.deepEqual(grants(second), []);
+  const sound = second.cell.apply(ask(ticket('t1')), 0);
+  assert.deepEqual(grants(sound), ['t1']);
+  const outcome = {kind: 'crashed'} as const;
+  const done = {kind: 'done', ticketId: 'odd1', outcome} as const;
+  assert.deepEqual(grants(sound.cell.apply(done, 10)), ['odd2']);
+});
+
+test.test('a suspect request that is refused sheds nobody else', () => {
+  let cell = cellWith(server('s1', 1));
+  cell = cell.apply(ask(ticket('t1')), 0).cell;
+  cell = cell.apply(ask(ticket('t2', {tier: 3})), 0).cell;
+  const odd = {isSuspect: true, tier: 1, deadlineMs: 3000} as const;
+  const asked = cell.apply(ask(ticket('odd', odd)), 0);
+  const late = asked.cell.apply({kind: 'tick'}, 2950);
+  const refused = [...asked.effects, ...late.effects]
+    .filter(effect => effect.kind === 'refuse')
+    .map(effect => effect.ticket.id);
+  assert.deepEqual(refused, ['odd']);
+  const waiting = late.cell.waiting.map(waitingTicket => waitingTicket.id);
+  assert.deepEqual(waiting, ['t2']);
+});
+
 test.test('a new keeper grants only after hosts have reported', () => {
   const versionsByServer = new Map<string, readonly string[]>();
   const servers = [server('s1', 1)];
--- a/packages/decisions/src/cell.ts
+++ b/packages/decisions/src/cell.ts
@@ -86,6 +86,7 @@
  * Invariants:
  * - a ticket is either waiting or running, never both, and occupies one slot;
  * - no ticket is granted on a runner that is reserved for a ticket before it;
+ * - at most one suspect request runs;
  * - when a ticket is shed, no ticket of a lower tier waits, and none is
  *   admitted until `CUTOFF_MS` have passed.
  */
@@ -202,8 +203,16 @@
     return enqueued.withoutWaiting(evicted.id).shed(evicted, waitMs, nowMs);
   }
 
-  /** Refuses a ticket as overloaded, and before it all waiting tickets of lower tiers; `waitMs` is its expected wait. */
+  /**
+   * Refuses a ticket as overloaded, and before it all waiting tickets of lower
+   * tiers; `waitMs` is its expected wait. A suspect request waits for an idle
+   * runner, so it is refused alone: that says nothing about the load.
+   */
   shed(ticket: tickets.Ticket, waitMs: number, nowMs: number): Transition {
+    if (ticket.isSuspect) {
+      const retryAfterMs = retryDelayMs(ticket, waitMs, nowMs);
+      return this.refuse(ticket, 'overloaded', retryAfterMs);
+    }
     const lower = this.fields.waiting.filter(t => t.tier > ticket.tier);
     const lowestFirst = [...lower].sort((a, b) => b.tier - a.tier);
     const cutoff = this.cutoffAfter(ticket.tier, nowMs);
@@ -438,8 +447,11 @@
       nowMs,
     );
     if (free.size === 0) return {cell, effects};
+    let hasSuspect = this.running.some(grant => grant.ticket.isSuspect);
     for (const ticket of ordered) {
       if (free.size === 0) break;
+      if (ticket.isSuspect && hasSuspect) continue;
+      hasSuspect ||= ticket.isSuspect;
       const runner = placement.findBestRunner(
         cell.runners,
         ticket,
--- a/packages/decisions/src/suspects.ts
+++ b/packages/decisions/src/suspects.ts
@@ -65,16 +65,18 @@
     return new SuspectRequests(new Map(crashes), new Map(completed));
   }
 
-  /** Returns the status of requests with this fingerprint. */
+  /** Returns the status of requests with this fingerprint. One whose answer had begun at its only crash is clear. */
   statusOf(fingerprint: string): SuspectStatus {
     const sinceMs = this.completedMs.get(fingerprint) ?? -Infinity;
-    const crashes = this.crashesOf(fingerprint);
-    const count = countDistinctCrashes(
-      crashes.filter(crash => crash.atMs > sinceMs),
-      fingerprint,
+    const crashes = this.crashesOf(fingerprint).filter(
+      crash => crash.atMs > sinceMs,
     );
+    const count = countDistinctCrashes(crashes, fingerprint);
     if (count >= CRASHES_TO_REFUSE) return 'refused';
-    return count > 0 ? 'suspect' : 'clear';
+    const isCandidate = crashes.some(({requests}) =>
+      requests.some(r => r.fingerprint === fingerprint && !r.hasBegun),
+    );
+    return isCandidate ? 'suspect' : 'clear';
   }
 
   /** The time at which each fingerprint last completed, for sending to a host that joins. */
--- a/packages/fleet/src/crashes.ts
+++ b/packages/fleet/src/crashes.ts
@@ -5,6 +5,10 @@
 import type * as timelines from './timeline.js';
 
 const EXPIRE_INTERVAL_MS = 60_000;
+/** The most prompt parts of which the last answer is remembered. */
+export const MAX_ANSWERED_PARTS = 4096;
+/** About so many hosts send their records to a host that joins. */
+const SENDERS_TO_JOINER = 8;
 
 /** Dependencies of `Crashes`; `targets` returns the hosts to send news to, other than `except`. */
 export interface CrashesOptions {
@@ -15,6 +19,16 @@
   readonly targets: (except: string) => readonly string[];
 }
 
+/** Whether a request may run, and for one that is not clear by which parts and crashes. */
+export interface Standing {
+  readonly status: decisions.suspects.SuspectStatus;
+  /** The prompt parts that it is judged by; empty when it is judged as a whole. */
+  readonly parts: readonly string[];
+  readonly crashIds: readonly string[];
+  /** How long a request with a refused part has to wait until one is tried again, in milliseconds. */
+  readonly retryAfterMs: number;
+}
+
 /** A request that is tracked while it is in flight on a backend server. */
 export interface TrackedRequest {
   /** Records that the backend server has begun to answer. */
@@ -34,6 +48,9 @@
 /** Tracks suspect requests, which were in flight when backend servers crashed, and shares them with other hosts. */
 export class Crashes {
   private suspects = decisions.suspects.SuspectRequests.empty;
+  private parts = decisions.suspectparts.SuspectParts.empty;
+  /** When a request with each part was last answered, the least recent first. */
+  private readonly answeredMs = new Map<string, number>();
   /** Requests in flight, by backend server and request id. */
   private readonly inFlight = new Map<
     string,
@@ -49,6 +66,8 @@
     this.timer = setInterval(() => {
       const nowMs = this.options.clock.nowMs();
       this.suspects = this.suspects.expire(nowMs);
+      const oldestMs = nowMs - decisions.suspects.CRASH_RETENTION_MS;
+      this.parts = this.parts.expire(oldestMs);
     }, EXPIRE_INTERVAL_MS);
   }
 
@@ -62,11 +81,35 @@
     return this.suspects.allCrashes().length;
   }
 
+  /** The prompt parts whose requests are refused now. */
+  get refusedParts(): readonly string[] {
+    return this.parts.refusedParts(this.options.clock.nowMs());
+  }
+
+  /** The number of parts of which the last answer is remembered. */
+  get rememberedParts(): number {
+    return this.answeredMs.size;
+  }
+
   /** Returns whether requests with this fingerprint are clear, suspect or refused. */
   statusOf(fingerprint: string): decisions.suspects.SuspectStatus {
     return this.suspects.statusOf(fingerprint);
   }
 
+  /** Returns the standing of a request by its fingerprint and its parts, whichever is worse. */
+  standingOf(request: Omit<RequestIdentity, 'requestId'>): Standing {
+    const nowMs = this.options.clock.nowMs();
+    const whole = this.statusOf(request.fingerprint);
+    const found = this.parts.statusOf(request.parts, nowMs);
+    const isWorse = SEVERITY[whole] > SEVERITY[found.status];
+    if (isWorse) {
+      return {status: whole, parts: [], crashIds: [], retryAfterMs: 0};
+    }
+    const {status, parts, crashIds, retryAtMs} = found;
+    const retryAfterMs = Math.max(0, retryAtMs - nowMs);
+    return {status, parts, crashIds, retryAfterMs};
+  }
+
   /** Records a request as in flight on a backend server. */
   trackInFlight(server: string, request: RequestIdentity): TrackedRequest {
     const {requestId, fingerprint, parts} = request;
@@ -118,32 +161,44 @@
     this.add([crash], '');
   }
 
-  /** Records that a request completed, so that earlier crashes no longer make its fingerprint suspect, and tells other hosts. */
-  recordCompletion(fingerprint: string): void {
-    if (this.suspects.statusOf(fingerprint) === 'clear') return;
+  /** Records that a request completed, so that earlier crashes no longer make it or its parts suspect, and tells other hosts. */
+  recordCompletion(fingerprint: string, parts: readonly string[] = []): void {
     const atMs = this.options.clock.nowMs();
-    this.suspects = this.suspects.complete(fingerprint, atMs);
-    this.sendNews({crashes: [], cleared: [{fingerprint, atMs}]}, '');
+    const answered = parts.filter(part => this.parts.isAccused(part));
+    for (const part of parts) this.rememberAnswer(part, atMs);
+    const cleared = answered.map(part => clearedPart(part, atMs));
+    if (this.suspects.statusOf(fingerprint) !== 'clear') {
+      cleared.push({fingerprint, atMs, part: ''});
+    }
+    if (cleared.length > 0) this.clear(cleared, '');
   }
 
   /** Merges crash news from another host and passes it on if any of it is new. */
   onNews(from: string, news: peers.messages.MessageBodies['news']): void {
     this.add(news.crashes, from);
-    const before = this.suspects;
-    for (const {fingerprint, atMs} of news.cleared) {
-      this.suspects = this.suspects.complete(fingerprint, atMs);
-    }
-    if (this.suspects !== before) {
-      this.sendNews({crashes: [], cleared: news.cleared}, from);
+    for (const {part, atMs} of news.cleared) {
+      if (part !== '') this.rememberAnswer(part, atMs);
     }
+    this.clear(news.cleared, from);
+  }
+
+  /** Sends what is on record to a host that has joined or can be reached again; `serving` is the number of hosts, of which only some send. */
+  onJoin(joined: string, serving: number): void {
+    const draw = `${joined}|${this.options.host}`;
+    const share = SENDERS_TO_JOINER / Math.max(1, serving);
+    if (decisions.rendezvous.hashFraction(draw) < share) this.sendAll(joined);
   }
 
   /** Sends all crashes and completions on record to a host that has just joined. */
   sendAll(host: string): void {
-    const cleared = [...this.suspects.completions].map(
-      ([fingerprint, atMs]) => ({fingerprint, atMs}),
-    );
+    const cleared = [
+      ...[...this.suspects.completions].map(([fingerprint, atMs]) => {
+        return {fingerprint, atMs, part: ''};
+      }),
+      ...[...this.parts.answers].map(([part, atMs]) => clearedPart(part, atMs)),
+    ];
     const crashes = this.suspects.allCrashes();
+    if (crashes.length === 0) return;
     const body = {members: [], crashes, cleared};
     this.options.router.send(host, {kind: 'news', body});
   }
@@ -154,7 +209,46 @@
   ): void {
     const before = this.suspects;
     this.suspects = crashes.reduce((s, crash) => s.add(crash), before);
-    if (this.suspects !== before) this.sendNews({crashes, cleared: []}, from);
+    if (this.suspects === before) return;
+    this.parts = crashes.reduce((p, crash) => p.add(crash), this.parts);
+    this.sendNews({crashes, cleared: []}, from);
+    this.vouch(crashes);
+  }
+
+  /** Tells when the parts of crashes were last answered; another host may not know. */
+  private vouch(crashes: readonly decisions.suspects.Crash[]): void {
+    const accused = new Set(
+      crashes.flatMap(({requests}) => requests.flatMap(({parts}) => parts)),
+    );
+    const cleared = [...accused].flatMap(part => {
+      const atMs = this.answeredMs.get(part);
+      return atMs === undefined ? [] : [clearedPart(part, atMs)];
+    });
+    if (cleared.length > 0) this.clear(cleared, '');
+  }
+
+  private clear(cleared: readonly peers.messages.Cleared[], from: string) {
+    const {suspects, parts} = this;
+    for (const {fingerprint, part, atMs} of cleared) {
+      if (part === '') {
+        this.suspects = this.suspects.complete(fingerprint, atMs);
+      } else {
+        this.parts = this.parts.answer(part, atMs);
+      }
+    }
+    if (this.suspects === suspects && this.parts === parts) return;
+    this.sendNews({crashes: [], cleared}, from);
+  }
+
+  private rememberAnswer(part: string, atMs: number): void {
+    const known = this.answeredMs.get(part) ?? -Infinity;
+    this.answeredMs.delete(part);
+    this.answeredMs.set(part, Math.max(known, atMs));
+    if (this.answeredMs.size <= MAX_ANSWERED_PARTS) return;
+    for (const oldest of this.answeredMs.keys()) {
+      this.answeredMs.delete(oldest);
+      return;
+    }
   }
 
   private sendNews(
@@ -167,3 +261,13 @@
     }
   }
 }
+
+const SEVERITY: Readonly<Record<decisions.suspects.SuspectStatus, number>> = {
+  clear: 0,
+  suspect: 1,
+  refused: 2,
+};
+
+function clearedPart(part: string, atMs: number): peers.messages.Cleared {
+  return {fingerprint: '', atMs, part};
+}
--- a/packages/fleet/src/members.ts
+++ b/packages/fleet/src/members.ts
@@ -61,6 +61,8 @@
   readonly onChange: () => void;
   /** Called when a host is declared dead. */
   readonly onDead: (host: string) => void;
+  /** Called when a host serves that is new, was restarted or was dead. */
+  readonly onJoin?: (host: string) => void;
   /** Called when a host misses a probe and has sent no message for `SILENT_MS`. */
   readonly onSilent: (host: string) => void;
 }
@@ -378,14 +380,19 @@
     if (news.length === 0) return;
     this.servingNow = this.membership.serving;
     this.watchedNow = undefined;
+    const joined: string[] = [];
     for (const member of news) {
       const {host, state, incarnation} = member;
       this.options.timeline.record('member', '', {host, state, incarnation});
-      const wasDead = before.get(host)?.state === 'dead';
+      const known = before.get(host);
+      const wasDead = known?.state === 'dead';
       if (state === 'dead' && !wasDead) this.options.onDead(host);
+      const isNew = wasDead || known?.incarnation !== incarnation;
+      if (state === 'serving' && isNew) joined.push(host);
     }
     this.spread(news);
     this.options.onChange();
+    for (const host of joined) this.options.onJoin?.(host);
   }
 
   private async join(): Promise<void> {
--- a/packages/fleet/src/slots.ts
+++ b/packages/fleet/src/slots.ts
@@ -165,7 +165,7 @@
     if (signal.aborted) {
       return Promise.reject(failed(deadlines.abortFailure(signal, 'not-run')));
     }
-    const cells = this.cellsByWait(slotRequest.service);
+    const cells = this.cellsFor(slotRequest);
     if (cells.length === 0) {
       return Promise.reject(failed(REFUSAL_FAILURES['no-runner'](0)));
     }
@@ -284,9 +284,10 @@
     const pending = this.pending.get(refuse.ticketId);
     if (!pending || pending.cell !== refuse.cell) return;
     const triedCells = new Set(pending.triedCells).add(pending.cell);
-    const {tier, service} = pending.slotRequest;
+    const {tier} = pending.slotRequest;
     const limit = tier === LOWEST_TIER ? LOWEST_TIER_MAX_CELLS : Infinity;
-    const next = this.cellsByWait(service).find(cell => !triedCells.has(cell));
+    const cells = this.cellsFor(pending.slotRequest);
+    const next = cells.find(cell => !triedCells.has(cell));
     if (next && triedCells.size < limit) {
       this.ask({...pending, triedCells, cell: next});
       return;
@@ -421,6 +422,13 @@
     this.reportedWaits.set(cell, {waitMs, atMs});
   }
 
+  /** Returns the cells that a request may use, in order. Suspect requests all use the same one, which runs one at a time. */
+  private cellsFor({service, isSuspect}: SlotRequest): readonly string[] {
+    if (!isSuspect) return this.cellsByWait(service);
+    const [first] = decisions.celltopology.cellsOf(service);
+    return [decisions.celltopology.cellName(first)];
+  }
+
   /** Returns the cells of a service by reported wait, shortest first; cells in other zones get a penalty. */
   private cellsByWait(service: decisions.config.Service): readonly string[] {
     const nowMs = this.options.clock.monotonicMs();
--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -15,6 +15,7 @@
 import * as crashprobes from './crashprobe.js';
 import * as requests from './request.js';
 import type * as rollouts from './rollouts.js';
+import * as suspectrejections from './suspectrejections.js';
 
 /** The maximum number of attempts of a request whatever its route allows, including attempts refused by backend servers. */
 const MAX_ATTEMPTS = 4;
@@ -170,11 +171,9 @@
       return this.giveUp(progress, 'no-repeat-left');
     }
     let grant: slotsModule.Grant;
+    const slotRequest = this.slotRequest(accepted, pool, progress);
     try {
-      grant = await slots.acquire(
-        this.slotRequest(accepted, pool, progress),
-        signal,
-      );
+      grant = await slots.acquire(slotRequest, signal);
     } catch (error) {
       if (!(error instanceof decisions.verdict.FailureError)) throw error;
       const {type, retryAfterMs} = error.failure;
@@ -188,6 +187,11 @@
       slots.done(grant.ticketId, {kind: 'cancelled'});
       return ended(rejection);
     }
+    const withdrawn = this.withdrawSuspect(accepted, progress, slotRequest);
+    if (withdrawn) {
+      slots.done(grant.ticketId, {kind: 'cancelled'});
+      return withdrawn;
+    }
     metrics.slotWaitS.observe(
       {service: accepted.service},
       (this.nowMs - accepted.received.arrivedMs) / 1000,
@@ -209,14 +213,37 @@
     return this.send(accepted, caller, progress, attempt, signal);
   }
 
+  /** Decides on a request that became suspect or refused while it waited for its slot; undefined if it may use the slot. */
+  private withdrawSuspect(
+    accepted: requests.AcceptedRequest,
+    progress: Progress,
+    slotRequest: slotsModule.SlotRequest,
+  ): RetryDecision | undefined {
+    const standing = this.standingOf(accepted);
+    const refusal = suspectrejections.rejectionOf(standing);
+    if (refusal) {
+      const {reason, retryAfterMs, detail} = refusal;
+      return this.giveUp(progress, reason, retryAfterMs, detail);
+    }
+    if (standing.status === 'clear' || slotRequest.isSuspect) return undefined;
+    progress.isRetryCounted = progress.attempts > 0;
+    return RETRY;
+  }
+
+  private standingOf(
+    accepted: requests.AcceptedRequest,
+  ): crashesModule.Standing {
+    const {fingerprint, sharedParts: parts} = accepted;
+    return this.options.crashes.standingOf({fingerprint, parts});
+  }
+
   /** Builds the slot request of the next attempt. */
   private slotRequest(
     accepted: requests.AcceptedRequest,
     pool: decisions.config.Service,
     progress: Progress,
   ): slotsModule.SlotRequest {
-    const {received, account, demand, deadlineMs, fingerprint} = accepted;
-    const standing = this.options.crashes.statusOf(fingerprint);
+    const {received, account, demand, deadlineMs} = accepted;
     return {
       requestId: received.id,
       service: pool,
@@ -237,7 +264,7 @@
         demand?.expectedOutputTokens ?? directories.PLAIN_REQUEST_TOKENS,
       chain: requests.prefixBlockHashes(demand),
       version: '',
-      isSuspect: standing !== 'clear',
+      isSuspect: this.standingOf(accepted).status !== 'clear',
       avoid: progress.triedServers,
     };
   }
@@ -392,7 +419,7 @@
       isFailure ? {kind: 'failed'} : {kind: 'completed', measured},
     );
     this.countAttempt(accepted, `status-${status}`);
-    if (!isFailure) this.options.crashes.recordCompletion(accepted.fingerprint);
+    if (!isFailure) this.recordCompletion(accepted);
     if (isFailure) {
       progress.mayHaveRun = true;
       progress.isRetryCounted = this.tryCountRetry(accepted, progress);
@@ -475,11 +502,16 @@
         inUse: inUseOf(head.load),
       },
     });
-    this.options.crashes.recordCompletion(accepted.fingerprint);
+    this.recordCompletion(accepted);
     this.countAttempt(accepted, 'ok');
     return ended({kind: 'answered', status: OK});
   }
 
+  private recordCompletion(accepted: requests.AcceptedRequest): void {
+    const {fingerprint, sharedParts} = accepted;
+    this.options.crashes.recordCompletion(fingerprint, sharedParts);
+  }
+
   /** Handles an attempt without a usable response: releases the slot, and ends the request at its deadline or when the caller disconnected; otherwise it may be retried. */
   private async handleFailure(
     accepted: requests.AcceptedRequest,
@@ -533,10 +565,10 @@
     accepted: requests.AcceptedRequest,
     progress: Progress,
   ): boolean {
-    const {route, fingerprint} = accepted;
+    const {route} = accepted;
     if (progress.attempts >= MAX_ATTEMPTS) return false;
     if (accepted.deadlineMs - this.nowMs < MIN_RETRY_TIME_MS) return false;
-    if (this.options.crashes.statusOf(fingerprint) === 'refused') return false;
+    if (this.standingOf(accepted).status === 'refused') return false;
     if (!progress.mayHaveRun) return true;
     if (progress.attempts >= route.maxAttempts) return false;
     if (route.repeatability === 'stream') return route.isResumable;
--- a/packages/gateway/src/host.ts
+++ b/packages/gateway/src/host.ts
@@ -31,6 +31,7 @@
 import * as metricsModule from './metrics.js';
 import * as requests from './request.js';
 import * as rollouts from './rollouts.js';
+import * as suspectrejections from './suspectrejections.js';
 
 /** How long callers may cache an address response, in milliseconds. */
 const ADDRESS_TTL_MS = 1000;
@@ -198,6 +199,7 @@
         this.links.drop(gone);
       },
       onSilent: silent => this.links.drop(silent),
+      onJoin: joined => this.crashes.onJoin(joined, serving().length),
     });
     this.feedRelay = new feedrelays.FeedRelay({
       ...{host, zone, clock, serving},
@@ -498,19 +500,20 @@
       fingerprintOf,
     );
     if (accepted.kind === 'rejection') return accepted;
-    if (this.crashes.statusOf(accepted.fingerprint) === 'refused') {
-      this.options.log.event('suspect', received.id, {
-        fingerprint: accepted.fingerprint,
-      });
-      return requests.rejection(503, 'suspect-request');
-    }
-    return accepted;
+    const {fingerprint, sharedParts: parts} = accepted;
+    const standing = this.crashes.standingOf({fingerprint, parts});
+    return suspectrejections.rejectionOf(standing) ?? accepted;
   }
 
-  /** Chooses the backend server of whose slots this host holds the smallest fraction; used while the keeper does not answer. */
+  /**
+   * Chooses the backend server of whose slots this host holds the smallest
+   * fraction; used while the keeper does not answer. None for a suspect request,
+   * since only the keeper knows what else runs there.
+   */
   private chooseWithoutKeeper(
     slotRequest: slotsModule.SlotRequest,
   ): decisions.config.BackendServer | undefined {
+    if (slotRequest.isSuspect) return undefined;
     const {region} = this.options.settings;
     const scored = slotRequest.service.backendServers
       .map(server => ({
@@ -559,6 +562,8 @@
     const ageHelp = 'Age of the oldest answer of the store in use, in seconds.';
     const ageS = this.feedRelay.oldestAnswerAgeMs / 1000;
     metrics.setGauge('store_answer_age_seconds', ageHelp, ageS);
+    const refused = this.crashes.refusedParts.length;
+    metrics.setGauge('refused_parts', 'Prompt parts refused.', refused);
     const {lowestTokens} = this.allowances;
     if (lowestTokens !== undefined) {
       const help = 'Lowest level of the allowances kept here, in tokens.';
--- a/packages/peers/src/messages.ts
+++ b/packages/peers/src/messages.ts
@@ -23,6 +23,8 @@
 export type Member = Decoded<peer.banyanhall.peer.Member.$Properties>;
 /** A crash of a backend server and the requests that were in flight there. */
 export type Crash = Decoded<peer.banyanhall.peer.Crash.$Properties>;
+/** A completed request, which clears its fingerprint or one of its prompt parts. */
+export type Cleared = Decoded<peer.banyanhall.peer.Cleared.$Properties>;
 /** The outcome of one request, from which the driver of a version move or rollout judges the candidate. */
 export type Sample = Decoded<peer.banyanhall.peer.Sample.$Properties>;
 
