Break off an unframed stream that ends inside an event or before the first

Callers could be given a cut stream as a whole one, and a backend server that crashed as it began an unframed answer cleared the prompt part that had crashed it. Cause: without a length and without chunks the end of the connection is that of the body, and the end was taken for a whole answer wherever it came. Change: such a stream is whole only if it has an event and ends between events; else it is a broken answer, resumed where the route allows and broken off elsewhere. Tests: 'an unframed stream that ends inside an event is broken off' and '... before its first event ...' fail on, pass now; 43 tests of path and forwarding passed.

--- a/packages/forwarding/src/events.ts
+++ b/packages/forwarding/src/events.ts
@@ -45,6 +45,11 @@
     return {bytes: complete, lastId, count: ids.length};
   }
 
+  /** True when nothing but line ends was received after the last complete event. */
+  get isBetweenEvents(): boolean {
+    return this.pending.every(byte => byte === LF || byte === CR);
+  }
+
   /** The bytes received after the last complete event. */
   get remainder(): Buffer {
     return this.pending;
--- a/packages/forwarding/src/upstream.ts
+++ b/packages/forwarding/src/upstream.ts
@@ -69,6 +69,8 @@
   readonly load: LoadReport | undefined;
   /** Whether the whole body has arrived; false when the connection was reset at its end. */
   readonly isWhole: () => boolean;
+  /** True when the end of the body is that of its connection, which does not tell a whole body from one that was cut. */
+  readonly endsWithConnection: boolean;
   /** Cancels the attempt by closing the connection, which the backend server notices. */
   readonly cancel: () => void;
 }
@@ -225,7 +227,12 @@
       return this.failure('broken-answer', 'may-have-run', detail);
     }
     const cancel = () => request.destroy();
-    return {kind: 'answer', response, load, isWhole, cancel};
+    const {headers} = response;
+    const endsWithConnection =
+      headers['content-length'] === undefined &&
+      headers['transfer-encoding'] === undefined;
+    const head = {response, load, isWhole, endsWithConnection, cancel};
+    return {kind: 'answer', ...head};
   }
 
   private failure(
--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -485,7 +485,10 @@
         }
         if (!caller.write(bytes)) await caller.waitForDrain();
       }
-      if (!head.isWhole()) throw new Error('stream ended early');
+      const isCut =
+        head.endsWithConnection &&
+        (eventCount === 0 || !framer.isBetweenEvents);
+      if (!head.isWhole() || isCut) throw new Error('stream ended early');
     } catch (error) {
       head.cancel();
       addPace();
