--- a/packages/fleet/src/crashes.ts
+++ b/packages/fleet/src/crashes.ts
@@ -227,7 +227,10 @@
     if (cleared.length > 0) this.clear(cleared, '');
   }
 
-  private clear(cleared: readonly peers.messages.Cleared[], from: string) {
+  private clear(
+    cleared: readonly peers.messages.Cleared[],
+    from: string,
+  ): void {
     const {suspects, parts} = this;
     for (const {fingerprint, part, atMs} of cleared) {
       if (part === '') {
