Keep a bounded number of crash reports

Reports were kept for an hour, however many: with parts in them, a crash a second would have cost tens of megabytes on each host, and each request's check goes through them all. The latest 512 are kept; what is evicted is not taken up again when another host sends it, so hosts agree whatever the order.

--- a/packages/decisions/src/suspectparts.ts
+++ b/packages/decisions/src/suspectparts.ts
@@ -2,7 +2,7 @@
  * Finds the prompt parts that crash backend servers, from what the requests at
  * crashes have in common and which parts other requests were answered with.
  */
-import type * as suspects from './suspects.js';
+import * as suspects from './suspects.js';
 
 /** A part is refused once it is the best explanation of this many crashes. */
 export const CRASHES_TO_REFUSE = 2;
@@ -92,7 +92,9 @@
   add(crash: suspects.Crash): SuspectParts {
     if (this.reports.has(crash.crashId)) return this;
     if (candidateParts(crash).length === 0) return this;
-    const reports = [...this.reports.values(), crash].sort(compareReports);
+    const reports = [...this.reports.values(), crash].sort(
+      suspects.compareReports,
+    );
     return this.withReports(reports.slice(-MAX_REPORTS));
   }
 
@@ -277,10 +279,6 @@
     .flatMap(request => request.parts);
 }
 
-function compareReports(a: suspects.Crash, b: suspects.Crash): number {
-  return a.atMs - b.atMs || (a.crashId < b.crashId ? -1 : 1);
-}
-
 /** Merges the hosts' reports of the same crash, in order of time. A report of requests sent after the last crash of their backend server is of another one. */
 function mergeReports(
   reports: readonly suspects.Crash[],
--- a/packages/decisions/src/suspects.test.ts
+++ b/packages/decisions/src/suspects.test.ts
@@ -60,6 +60,22 @@
   assert.equal(later.statusOf('bad'), 'clear');
 });
 
+test.test('only the latest crash reports are kept', () => {
+  const count = suspects.MAX_REPORTS + 1;
+  const crashes = Array.from({length: count}, (_, i) =>
+    crash(`c${i}`, i, `s${i}`, `f${i}`),
+  );
+  for (const order of [crashes, [...crashes].reverse()]) {
+    const known = order.reduce(
+      (all, one) => all.add(one),
+      suspects.SuspectRequests.empty,
+    );
+    assert.equal(known.allCrashes().length, suspects.MAX_REPORTS);
+    assert.equal(known.statusOf('f0'), 'clear');
+    assert.equal(known.statusOf('f1'), 'suspect');
+  }
+});
+
 test.test('the order and repetition of crash reports do not matter', () => {
   const report = fc.record({
     id: fc.integer({min: 0, max: 9}),
--- a/packages/decisions/src/suspects.ts
+++ b/packages/decisions/src/suspects.ts
@@ -4,6 +4,9 @@
 /** How long crashes and completions are kept, in milliseconds. */
 export const CRASH_RETENTION_MS = 3_600_000;
 
+/** The number of crash reports kept; the latest ones are kept. */
+export const MAX_REPORTS = 512;
+
 /** A request that was in flight when a backend server crashed. */
 export interface InFlightRequest {
   readonly fingerprint: string;
@@ -41,11 +44,25 @@
   /** No crashes and no completions. */
   static readonly empty = new SuspectRequests(new Map(), new Map());
 
-  /** Adds a crash; one that is already known changes nothing. */
+  /** Adds a crash; one that is already known changes nothing, nor does one that is older than all of `MAX_REPORTS` known ones. */
   add(crash: Crash): SuspectRequests {
     if (this.crashes.has(crash.crashId)) return this;
     const crashes = new Map(this.crashes).set(crash.crashId, crash);
-    return new SuspectRequests(crashes, this.completedMs);
+    if (crashes.size <= MAX_REPORTS) {
+      return new SuspectRequests(crashes, this.completedMs);
+    }
+    const oldest = [...crashes.values()].reduce((a, b) =>
+      compareReports(a, b) <= 0 ? a : b,
+    );
+    if (oldest === crash) return this;
+    crashes.delete(oldest.crashId);
+    const kept = new Set(
+      [...crashes.values()].flatMap(({requests}) =>
+        requests.map(({fingerprint}) => fingerprint),
+      ),
+    );
+    const completed = [...this.completedMs].filter(([f]) => kept.has(f));
+    return new SuspectRequests(crashes, new Map(completed));
   }
 
   /** Records that a request with this fingerprint completed at `atMs`; ignored unless a crash with it is known. */
@@ -119,3 +136,8 @@
   }
   return count;
 }
+
+/** Orders the reports of crashes by time. */
+export function compareReports(a: Crash, b: Crash): number {
+  return a.atMs - b.atMs || (a.crashId < b.crashId ? -1 : 1);
+}
