Store: go by positions of era and revision, not by bare revisions

What callers saw: after the store came back from a copy some seconds old, changes that had been confirmed were not in force in time (404 for an added route, 401 for a valid key), and servers that were leaving still got requests.

Cause: a revision of the store was taken for a clock that never goes back. A watch took the list of a restored store for a stale one and listed again until the counter had caught up; from a version that existed again as another one it missed rows and never learned it. Followers compared revisions of two eras, an order that was written again had a "lower" revision, a state that had been published once was never written again, and a list of the copy brought servers back that had left.

Change: `StorePosition` is the one notion of a place in the store: era and revision, private, compared as one. Watches, the relay between hosts and rollout orders use it. The era that any answer states, of whatever call and status, reaches all watches at once: held feed calls, relay reads and pauses end, and the tables are listed. An answer without the header is of the newest era known. A list over several pages that crosses an era is started again, a feed answer of another era than the position it was asked from is thrown away. Within one era a list older than the newest known position is still stale.

What is reconciled from what hosts know: the driver of a rollout writes its state again (a write that the restore overtook does not count); an order that is written again is the same rollout; hosts write their leases again, spread over 2 s; a server missing from the copy is kept as after an outage; one that said it leaves stays out for good, and one that was gone is used only once it shows a later heartbeat, is written again, or is still listed when it would have expired. Up to 4,096 starts that left are remembered.

Two builds side by side: messages between hosts carry the era in new fields, which an older build ignores. A message without it is read as of the own era while this host has seen no restore, as all hosts have read the same era then; after one it neither applies nor confirms, and the host reads the store itself. Ids of rollouts between hosts keep their form.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -18,6 +18,7 @@
 export * as runner from './runner.js';
 export * as startrate from './startrate.js';
 export * as statement from './statement.js';
+export * as storeposition from './storeposition.js';
 export * as suspectparts from './suspectparts.js';
 export * as suspects from './suspects.js';
 export * as ticket from './ticket.js';
--- a/packages/fleet/src/feedrelay.ts
+++ b/packages/fleet/src/feedrelay.ts
@@ -17,17 +17,19 @@
 /** The most batches of changes kept for a table. */
 const MAX_KEPT_BATCHES = 64;
 
+type StorePosition = decisions.storeposition.StorePosition;
+
 /** A row of a watched table: its key within the table and its text; undefined when it was deleted. */
 export interface FeedRow {
   readonly key: string;
   readonly text: string | undefined;
-  readonly revision: number;
+  readonly position: StorePosition;
 }
 
-/** The changes of a table after revision `from`, up to and including `to`. */
+/** The changes of a table after position `from`, up to and including `to`, both of one era of the store. */
 export interface FeedBatch {
-  readonly from: number;
-  readonly to: number;
+  readonly from: StorePosition;
+  readonly to: StorePosition;
   readonly rows: readonly FeedRow[];
 }
 
@@ -40,18 +42,30 @@
   readonly send: (host: string, item: peers.messages.Message) => void;
 }
 
+/** When the store last answered a watcher, on the monotonic clock of this host, and up to where it had read then. */
+interface Confirmation {
+  readonly atMs: number;
+  readonly position: StorePosition;
+}
+
 /** What is known of one table. */
 interface Table {
   /** Batches from watchers, in order of arrival. */
   batches: readonly FeedBatch[];
-  /** The newest revision that a watcher has announced. */
-  newest: number;
-  /** When the store last answered each watcher, on the monotonic clock of this host. */
-  readonly confirmedMs: Map<string, number>;
+  /** The newest position that a watcher has announced. */
+  newest: StorePosition;
+  /** The last answer of the store to each watcher. */
+  readonly confirmations: Map<string, Confirmation>;
   /** Wakes the reader of the table; undefined while it does not wait. */
   wake: (() => void) | undefined;
-  /** The revision up to which this host has read the store itself; undefined while the store does not answer. */
-  readRevision: number | undefined;
+  /** The position up to which this host has read the store itself; undefined while the store does not answer. */
+  readPosition: StorePosition | undefined;
+  /** The newest position that this host has used or read. */
+  usedPosition: StorePosition;
+  /** True once this host has seen the store come back from an older copy. */
+  hasSeenRestore: boolean;
+  /** The newest position of which the reader has been told that it is of a later era. */
+  announcedEra: StorePosition;
   /** When the store last answered this host itself, on the monotonic clock. */
   answeredMs: number;
 }
@@ -119,31 +133,44 @@
   }
 
   /**
-   * Waits for the changes of a table after `revision` from a watcher. Resolves
+   * Waits for the changes of a table after `position` from a watcher. Resolves
    * to undefined when this host has to read them from the store: as a watcher,
-   * when it missed a batch, or when no watcher has had an answer from the store
-   * for `maxAgeMs`.
+   * when it missed a batch, when no watcher has had an answer from the store
+   * for `maxAgeMs`, or when `signal` aborts the wait. Resolves to 'restored',
+   * once for each era, when a watcher has read the store in a later era than
+   * that of `position`: this host then has to list the table.
    */
   async next(
     name: string,
-    revision: number,
+    position: StorePosition,
     maxAgeMs: number,
-  ): Promise<FeedBatch | undefined> {
+    signal?: AbortSignal,
+  ): Promise<FeedBatch | 'restored' | undefined> {
     const table = this.table(name);
+    usePosition(table, position);
     for (;;) {
-      if (this.isWatcher) return undefined;
-      table.batches = table.batches.filter(({to}) => to > revision);
-      const batch = table.batches.find(({from}) => from <= revision);
+      if (this.isWatcher || signal?.aborted) return undefined;
+      const {newest} = table;
+      if (position.isOfEarlierEraThan(newest)) {
+        if (!table.announcedEra.isOfEarlierEraThan(newest)) return undefined;
+        table.announcedEra = newest;
+        return 'restored';
+      }
+      table.batches = table.batches.filter(({to}) => to.isAfter(position));
+      const batch = table.batches.find(({from}) => !from.isAfter(position));
       if (batch) return batch;
-      if (table.newest > revision) return undefined;
-      const leftMs = this.confirmedMs(table) + maxAgeMs - this.nowMs;
+      if (newest.isAfter(position)) return undefined;
+      const leftMs = this.confirmedMs(table, position) + maxAgeMs - this.nowMs;
       if (leftMs <= 0) return undefined;
       await new Promise<void>(resolve => {
-        const timer = setTimeout(resolve, leftMs);
-        table.wake = () => {
+        const wake = () => {
           clearTimeout(timer);
+          signal?.removeEventListener('abort', wake);
           resolve();
         };
+        const timer = setTimeout(wake, leftMs);
+        signal?.addEventListener('abort', wake);
+        table.wake = wake;
       });
       table.wake = undefined;
     }
@@ -152,7 +179,8 @@
   /** Passes on a batch that this host has read from the store, if it is a watcher. */
   publish(name: string, batch: FeedBatch): void {
     const table = this.table(name);
-    table.readRevision = batch.to;
+    usePosition(table, batch.to);
+    table.readPosition = batch.to;
     table.answeredMs = this.nowMs;
     if (this.isWatcher) this.sendToFollowers(name, batch, true);
   }
@@ -160,30 +188,41 @@
   /** Records that the store does not answer this host; followers then turn to it themselves. */
   publishFailure(name: string): void {
     const table = this.table(name);
-    const wasAnswering = table.readRevision !== undefined;
-    table.readRevision = undefined;
+    const wasAnswering = table.readPosition !== undefined;
+    table.readPosition = undefined;
     if (!wasAnswering || !this.isWatcher) return;
-    this.sendToFollowers(name, {from: 0, to: 0, rows: []}, false);
+    const {start} = decisions.storeposition.StorePosition;
+    this.sendToFollowers(name, {from: start, to: start, rows: []}, false);
+  }
+
+  /** Stops confirming what was read before the store came back from an older copy. */
+  onStoreRestored(): void {
+    for (const table of this.tables.values()) table.readPosition = undefined;
   }
 
   /** Handles a batch or a heartbeat of a watcher. */
   onFeed(from: string, body: peers.messages.MessageBodies['feed']): void {
     const table = this.table(body.table);
-    if (!body.isAnswering) {
-      table.confirmedMs.delete(from);
+    const era = eraOf(table, body);
+    if (!body.isAnswering || era === undefined) {
+      table.confirmations.delete(from);
       table.wake?.();
       return;
     }
-    table.confirmedMs.set(from, this.nowMs - body.ageMs);
+    const at = (revision: number) =>
+      decisions.storeposition.StorePosition.of(era, revision);
     const batch = {
-      from: body.fromRevision,
-      to: body.toRevision,
+      from: at(body.fromRevision),
+      to: at(body.toRevision),
       rows: body.rows.map(({key, text, isDeleted, revision}) => {
-        return {key, text: isDeleted ? undefined : text, revision};
+        const position = at(revision);
+        return {key, text: isDeleted ? undefined : text, position};
       }),
     };
-    table.newest = Math.max(table.newest, batch.to);
-    if (batch.to > batch.from) {
+    const atMs = this.nowMs - body.ageMs;
+    table.confirmations.set(from, {atMs, position: batch.to});
+    table.newest = table.newest.latest(batch.to);
+    if (batch.to.isAfter(batch.from)) {
       table.batches = [...table.batches, batch].slice(-MAX_KEPT_BATCHES);
     }
     table.wake?.();
@@ -205,10 +244,10 @@
     this.lastTick = tick;
     for (const [name, table] of this.tables) {
       // After a pause this host does not know what it missed until it reads the store again.
-      if (wasFrozen) table.readRevision = undefined;
-      if (table.readRevision === undefined || !this.isWatcher) continue;
-      const revision = table.readRevision;
-      const heartbeat = {from: revision, to: revision, rows: []};
+      if (wasFrozen) table.readPosition = undefined;
+      if (table.readPosition === undefined || !this.isWatcher) continue;
+      const position = table.readPosition;
+      const heartbeat = {from: position, to: position, rows: []};
       this.sendToFollowers(name, heartbeat, true);
     }
   }
@@ -220,9 +259,11 @@
   private table(name: string): Table {
     const known = this.tables.get(name);
     if (known) return known;
+    const {start} = decisions.storeposition.StorePosition;
     const table: Table = {
-      ...{batches: [], newest: 0, confirmedMs: new Map()},
-      ...{wake: undefined, readRevision: undefined, answeredMs: this.nowMs},
+      ...{batches: [], newest: start, confirmations: new Map()},
+      ...{wake: undefined, readPosition: undefined, answeredMs: this.nowMs},
+      ...{usedPosition: start, hasSeenRestore: false, announcedEra: start},
     };
     this.tables.set(name, table);
     return table;
@@ -237,10 +278,19 @@
     return this.watchers;
   }
 
-  /** Returns when the store last answered a watcher of the table. */
-  private confirmedMs({confirmedMs}: Table): number {
-    const times = this.currentWatchers().map(host => confirmedMs.get(host));
-    return Math.max(...times.map(ms => ms ?? -Infinity));
+  /** Returns when the store last answered a watcher of the table, of those that have read it in the era of `position` or a later one. */
+  private confirmedMs(
+    {confirmations}: Table,
+    position = decisions.storeposition.StorePosition.start,
+  ): number {
+    const times = this.currentWatchers().map(host => {
+      const found = confirmations.get(host);
+      if (!found || found.position.isOfEarlierEraThan(position)) {
+        return -Infinity;
+      }
+      return found.atMs;
+    });
+    return Math.max(...times);
   }
 
   private sendToFollowers(
@@ -252,11 +302,15 @@
     const ageMs = Math.round(this.nowMs - this.table(table).answeredMs);
     const bytes = rows.reduce((sum, {text}) => sum + (text?.length ?? 0), 0);
     const isRelayed = bytes <= MAX_RELAYED_BYTES;
+    const {era, revision: toRevision} = to.encode();
+    const hasEra = era !== decisions.storeposition.UNKNOWN_ERA;
     const body = {
-      ...{table, isAnswering, ageMs, toRevision: to},
-      fromRevision: isRelayed ? from : to,
-      rows: (isRelayed ? rows : []).map(({key, text, revision}) => ({
-        ...{key, text: text ?? '', isDeleted: text === undefined, revision},
+      ...{table, isAnswering, ageMs, toRevision, hasEra},
+      era: hasEra ? era : 0,
+      fromRevision: (isRelayed ? from : to).encode().revision,
+      rows: (isRelayed ? rows : []).map(({key, text, position}) => ({
+        ...{key, text: text ?? '', isDeleted: text === undefined},
+        revision: position.encode().revision,
       })),
     };
     const isSmall = serving().length <= SMALL_FLEET_HOSTS;
@@ -268,3 +322,26 @@
     }
   }
 }
+
+/** Records a position of the store that this host goes by. */
+function usePosition(table: Table, position: StorePosition): void {
+  const {usedPosition} = table;
+  const {start} = decisions.storeposition.StorePosition;
+  const isFirst = usedPosition.isOfSameEraAs(start);
+  const isLater = usedPosition.isOfEarlierEraThan(position);
+  if (isLater && !isFirst) table.hasSeenRestore = true;
+  table.usedPosition = usedPosition.latest(position);
+}
+
+/**
+ * The era of the revisions in a message. An older build does not state it:
+ * while this host has seen no restore, it is that of the host itself, since
+ * both have read the same era; after one it is unknown (undefined).
+ */
+function eraOf(
+  table: Table,
+  body: peers.messages.MessageBodies['feed'],
+): number | undefined {
+  if (body.hasEra) return body.era;
+  return table.hasSeenRestore ? undefined : table.usedPosition.encode().era;
+}
--- a/packages/fleet/src/members.ts
+++ b/packages/fleet/src/members.ts
@@ -16,6 +16,8 @@
 const RENEW_INTERVAL_MS = 20_000;
 const SCAN_INTERVAL_MS = 30_000;
 const SCAN_LIMIT = 1000;
+/** After a restore of the store, hosts write their leases again at random within this time, as all learn of it at once. */
+const REJOIN_SPREAD_MS = 2000;
 /** Scans within this time of the last one are skipped, because each message from an unknown host triggers one. */
 const MIN_SCAN_GAP_MS = 3000;
 /** The key of a lease in the table is this prefix and the name of the host. */
@@ -65,6 +67,8 @@
   readonly onJoin?: (host: string) => void;
   /** Called when a host misses a probe and has sent no message for `SILENT_MS`. */
   readonly onSilent: (host: string) => void;
+  /** Called when the lease has been written again that the store may have lost. */
+  readonly onRewritten?: (key: string) => void;
 }
 
 /** A probe without an ack so far. */
@@ -105,6 +109,9 @@
   private lastScanMs = -Infinity;
   /** True once this host has written its lease and read all leases; until then every tick tries again. */
   private hasJoined = false;
+  private rejoinTimer: NodeJS.Timeout | undefined;
+  /** True from a restore of the store until the lease is written again. */
+  private isLeaseForgotten = false;
 
   constructor(private readonly options: MembersOptions) {
     this.membership = decisions.membership.Membership.of(options.self);
@@ -149,14 +156,19 @@
   /** Announces that this host is leaving and deletes its lease. */
   async leave(): Promise<void> {
     this.applyUpdate(this.membership.leave());
-    await this.options.table.commit({
-      conditions: [],
-      writes: [{key: LEASE_PREFIX + this.options.self.host}],
-    });
+    await this.deleteLease();
+  }
+
+  /** Writes the lease again, or deletes it again if this host is leaving, and reads all leases, since the store came back from an older copy. */
+  onStoreRestored(): void {
+    clearTimeout(this.rejoinTimer);
+    const delayMs = this.options.random() * REJOIN_SPREAD_MS;
+    this.rejoinTimer = setTimeout(() => void this.rejoin(), delayMs);
   }
 
   /** Stops probes, gossip and the renewal of the lease. */
   stop(): void {
+    clearTimeout(this.rejoinTimer);
     for (const timer of this.timers) clearInterval(timer);
   }
 
@@ -400,6 +412,23 @@
     if (this.hasJoined) this.spread([this.membership.self]);
   }
 
+  private async rejoin(): Promise<void> {
+    if (this.membership.self.state === 'leaving') {
+      return void (await this.deleteLease());
+    }
+    this.isLeaseForgotten = true;
+    this.hasJoined = false;
+    this.lastScanMs = -Infinity;
+    await this.join();
+  }
+
+  private deleteLease(): Promise<platform.table.CommitResult> {
+    return this.options.table.commit({
+      conditions: [],
+      writes: [{key: LEASE_PREFIX + this.options.self.host}],
+    });
+  }
+
   private async renew(): Promise<boolean> {
     const {self} = this.membership;
     if (self.state === 'leaving') return false;
@@ -409,7 +438,12 @@
       conditions: [],
       writes: [{key: LEASE_PREFIX + self.host, value}],
     });
-    return result.kind === 'committed';
+    const isWritten = result.kind === 'committed';
+    if (isWritten && this.isLeaseForgotten) {
+      this.isLeaseForgotten = false;
+      this.options.onRewritten?.(LEASE_PREFIX + self.host);
+    }
+    return isWritten;
   }
 
   private async scan(): Promise<boolean> {
--- a/packages/gateway/src/directory.test.ts
+++ b/packages/gateway/src/directory.test.ts
@@ -19,6 +19,7 @@
     capacity: 4,
     isDraining: false,
     startedAtMs: 0,
+    heartbeats: 1,
     ...change,
   };
 }
@@ -32,6 +33,7 @@
     clock: new decisions.clock.FakeClock(),
     log: logs.NO_LOG,
     regionByZone: new Map([['z', 'r']]),
+    heartbeatMs: 1200,
     onChange: () => rebuilt++,
   });
   for (const one of entries) directory.onServerEntry(one.id, one);
--- a/packages/gateway/src/directory.ts
+++ b/packages/gateway/src/directory.ts
@@ -13,6 +13,14 @@
 /** How long the last backend server of a service is used after its entry disappeared, in milliseconds; backend servers go on serving for a specified time after their entry is gone. */
 const LAST_SERVER_GRACE_MS = 1500;
 
+/** After so many heartbeat intervals without one the store removes an entry. */
+const EXPIRY_HEARTBEATS = 3;
+/** How much later than that a host may learn of it, in milliseconds. */
+const EXPIRY_SLACK_MS = 2000;
+
+/** The most starts of backend servers that left and are remembered, and the most ids whose entries are not used yet. */
+const MAX_DEPARTURES = 4096;
+
 /** The least number of slots of a backend server; also used when neither its entry nor the configuration states a number. */
 const MIN_CAPACITY = 1;
 
@@ -32,6 +40,16 @@
   readonly isDraining: boolean;
   /** When the backend server started; 0 when the entry does not state it. */
   readonly startedAtMs: number;
+  /** How often the backend server has written its entry since it started; may be stale. */
+  readonly heartbeats: number;
+}
+
+/** What is known of a start of a backend server that left. */
+interface Departure {
+  /** True if it said itself that it leaves; it does not come back then. */
+  readonly isFinal: boolean;
+  /** The most heartbeats seen of it. */
+  readonly heartbeats: number;
 }
 
 /** The paces assumed before any measurement; below typical values, so that measurements correct them upwards. */
@@ -52,6 +70,8 @@
   readonly clock: decisions.clock.Clock;
   readonly log: logs.Log;
   readonly regionByZone: ReadonlyMap<string, string>;
+  /** The interval at which backend servers write their entries. */
+  readonly heartbeatMs: number;
   readonly onChange: () => void;
 }
 
@@ -63,11 +83,20 @@
  * may only have expired: one that disappears during or shortly after a store
  * outage is kept for `OUTAGE_GRACE_MS`, and the last one of a service for
  * `LAST_SERVER_GRACE_MS`.
+ *
+ * A store that comes back from an older copy may list servers again that left.
+ * A start that was draining stays out. One that was gone is used again once its
+ * entry shows a later heartbeat, is written again, or is still listed when it
+ * would have expired.
  */
 export class Directory {
   private current: routing.configuration.Configuration | undefined;
   private readonly entries = new Map<string, ServerEntry>();
   private readonly removalTimers = new Map<string, NodeJS.Timeout>();
+  /** The starts that left, by name from `startOf`, the latest last. */
+  private readonly departures = new Map<string, Departure>();
+  /** Timers of entries of a restored store that are not used yet, by id. */
+  private readonly heldTimers = new Map<string, NodeJS.Timeout>();
   private candidates: ReadonlyMap<string, string> = new Map();
   private pools = decisions.config.Config.empty;
   private isBatching = false;
@@ -148,6 +177,10 @@
 
   /** Applies a backend server's entry; undefined when the entry is gone. */
   onServerEntry(id: string, entry: ServerEntry | undefined): void {
+    clearTimeout(this.heldTimers.get(id));
+    this.heldTimers.delete(id);
+    if (entry?.isDraining) this.recordDeparture(entry);
+    else if (entry && this.hasDeparted(entry)) return;
     clearTimeout(this.removalTimers.get(id));
     this.removalTimers.delete(id);
     const known = this.entries.get(id);
@@ -159,12 +192,15 @@
     if (!entry || entry.isDraining) {
       if (!known) return;
       this.entries.delete(id);
+      if (!entry) this.recordDeparture(known);
       const reason = entry ? 'draining' : 'entry gone';
       this.options.log.event('server-left', '', {server: id, reason});
       return this.rebuild();
     }
-    if (known && areEqual(known, entry)) return;
+    if (known && startOf(known) !== startOf(entry)) this.recordDeparture(known);
+    this.departures.delete(startOf(entry));
     this.entries.set(id, entry);
+    if (known && areEqual(known, entry)) return;
     const {service, address, version, zone} = entry;
     const fields = {server: id, service, address, version, zone};
     this.options.log.event('server-listed', '', fields);
@@ -179,13 +215,28 @@
     if (this.isStale) this.rebuild();
   }
 
-  /** Replaces all entries; known ones missing from `all` are treated as gone. */
+  /** Replaces all entries; known ones missing from `all` are treated as gone. `isRestored` if the store came back from an older copy: they may then be written again, and some of `all` may be of servers that left. */
   replaceServerEntries(
     all: ReadonlyMap<string, ServerEntry | undefined>,
+    isRestored = false,
   ): void {
-    const missing = [...this.entries.keys()].filter(id => !all.has(id));
-    const gone = missing.map(id => [id, undefined] as const);
-    this.onServerEntries(new Map([...gone, ...all]));
+    if (isRestored) {
+      this.storeRecoveredMs = this.options.clock.monotonicMs();
+    }
+    const known = [...this.entries.keys(), ...this.heldTimers.keys()];
+    const missing = known.filter(id => !all.has(id));
+    const changes = new Map<string, ServerEntry | undefined>(
+      missing.map(id => [id, undefined]),
+    );
+    for (const [id, entry] of all) {
+      const mayHaveLeft = isRestored || this.heldTimers.has(id);
+      if (entry && mayHaveLeft && this.isCopyOfDeparted(entry)) {
+        this.hold(id, entry);
+      } else {
+        changes.set(id, entry);
+      }
+    }
+    this.onServerEntries(changes);
   }
 
   /** Records whether the store answers. */
@@ -206,6 +257,47 @@
     return this.pool(service, false) !== this.pool(service, true);
   }
 
+  private recordDeparture(entry: ServerEntry): void {
+    const start = startOf(entry);
+    const known = this.departures.get(start);
+    this.departures.delete(start);
+    this.departures.set(start, {
+      // Without the time of the start, a later one has the same name.
+      isFinal: entry.isDraining && entry.startedAtMs > 0,
+      ...(known?.isFinal && {isFinal: true}),
+      heartbeats: Math.max(entry.heartbeats, known?.heartbeats ?? 0),
+    });
+    for (const oldest of this.departures.keys()) {
+      if (this.departures.size <= MAX_DEPARTURES) break;
+      this.departures.delete(oldest);
+    }
+  }
+
+  /** True if the start that an entry is about said that it leaves. */
+  private hasDeparted(entry: ServerEntry): boolean {
+    return this.departures.get(startOf(entry))?.isFinal === true;
+  }
+
+  /** True if a start left and its entry is no newer than what was known then. */
+  private isCopyOfDeparted(entry: ServerEntry): boolean {
+    const departure = this.departures.get(startOf(entry));
+    if (!departure || entry.isDraining) return false;
+    return departure.isFinal || entry.heartbeats <= departure.heartbeats;
+  }
+
+  /** Uses an entry only if it is still listed when it would have expired. */
+  private hold(id: string, entry: ServerEntry): void {
+    if (this.heldTimers.has(id) || this.hasDeparted(entry)) return;
+    const {heartbeatMs, log} = this.options;
+    log.event('server-left', '', {
+      server: id,
+      reason: 'left before the restore',
+    });
+    const forMs = EXPIRY_HEARTBEATS * heartbeatMs + EXPIRY_SLACK_MS;
+    const timer = setTimeout(() => this.onServerEntry(id, entry), forMs);
+    this.heldTimers.set(id, timer);
+  }
+
   /** True when an entry may be gone only because the store was down when it had to be renewed. */
   private mayHaveExpired(): boolean {
     const sinceMs = this.options.clock.monotonicMs() - this.storeRecoveredMs;
@@ -217,7 +309,10 @@
     const timer = setTimeout(() => {
       this.removalTimers.delete(id);
       if (this.isStoreDown) return this.scheduleRemoval(id, OUTAGE_GRACE_MS);
-      if (!this.entries.delete(id)) return;
+      const entry = this.entries.get(id);
+      if (!entry) return;
+      this.entries.delete(id);
+      this.recordDeparture(entry);
       const reason = 'entry did not come back';
       this.options.log.event('server-left', '', {server: id, reason});
       this.rebuild();
@@ -293,5 +388,5 @@
 
 function areEqual(a: ServerEntry, b: ServerEntry): boolean {
   const keys = Object.keys(a) as (keyof ServerEntry)[];
-  return keys.every(key => a[key] === b[key]);
+  return keys.every(key => key === 'heartbeats' || a[key] === b[key]);
 }
--- a/packages/gateway/src/host.ts
+++ b/packages/gateway/src/host.ts
@@ -70,6 +70,8 @@
   readonly metricsPath: string;
   /** The time from the stop signal until the process is killed. */
   readonly gracePeriodMs: number;
+  /** The interval at which backend servers write their entries. */
+  readonly serverHeartbeatMs: number;
   /** The CPU quota of the host in cores; 0 when unknown. */
   readonly cores: number;
   readonly fleetLimits: fleetlimits.FleetLimitSettings;
@@ -170,6 +172,7 @@
     const {router} = this;
     this.directory = new directories.Directory({
       ...{clock, log, regionByZone: settings.regionByZone},
+      heartbeatMs: settings.serverHeartbeatMs,
       onChange: () => {
         this.keeper.onConfig();
         this.slots.onMembers();
@@ -202,6 +205,7 @@
         this.links.drop(gone);
       },
       onSilent: silent => this.links.drop(silent),
+      onRewritten: key => this.onRewritten('lease', key),
       onJoin: joined => {
         this.crashes.onJoin(joined, serving().length);
         this.statements.onJoin(joined, serving().length);
@@ -254,6 +258,7 @@
       ...{host, clock, random, router, directory, log},
       servingHosts: () => serving().map(member => member.host),
       publishState: options.publishRolloutState,
+      onRewritten: key => this.onRewritten('rollout', key),
     });
     this.upstream = new forwarding.upstream.Upstream(dialect.names);
     const {slots, crashes, upstream} = this;
@@ -329,6 +334,19 @@
     log.event('ready', '', {from, sinceProcessStartMs});
   }
 
+  /** Writes again what the store may have lost, and no longer goes by what was read before; called when the store came back from an older copy. */
+  onStoreRestored(): void {
+    this.feedRelay.onStoreRestored();
+    this.rollouts.onStoreRestored();
+    this.members.onStoreRestored();
+  }
+
+  private onRewritten(what: string, key: string): void {
+    const {log, metrics} = this.options;
+    metrics.storeRewrites.inc({what});
+    log.event('store-rewritten', '', {what, key});
+  }
+
   /**
    * Drains and stops the host: it reports not ready and is left out of address
    * responses, serves while callers may use cached addresses, then waits for
--- a/packages/gateway/src/logs.ts
+++ b/packages/gateway/src/logs.ts
@@ -9,6 +9,8 @@
   | 'reload'
   | 'dependency-lost'
   | 'dependency-back'
+  | 'store-restored'
+  | 'store-rewritten'
   | 'bad-input'
   | 'configuration'
   | 'server-listed'
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -25,6 +25,21 @@
     'Calls to the store by call and result.',
     ['call', 'result'],
   );
+  readonly storeRestores = this.counter(
+    'banyanhall_store_restores_total',
+    'Times that the store came back from an older copy.',
+    [],
+  );
+  readonly storeRows = this.counter(
+    'banyanhall_store_restored_rows_total',
+    'Rows that a restored store has lost, has with another text, or got back, by table.',
+    ['table', 'change'],
+  );
+  readonly storeRewrites = this.counter(
+    'banyanhall_store_rewrites_total',
+    'Rows of the fleet written again after the store came back from an older copy.',
+    ['what'],
+  );
   readonly slotWaitS = this.histogram(
     'banyanhall_slot_wait_seconds',
     'Time from arrival to a slot on a backend server.',
--- a/packages/gateway/src/rollouts.test.ts
+++ b/packages/gateway/src/rollouts.test.ts
@@ -14,7 +14,7 @@
   service: 's',
   to: 'v2',
   durationMs: 10_000,
-  revision: 1,
+  position: decisions.storeposition.StorePosition.of(1, 1),
 };
 const STEP_MS = 100;
 const REQUESTS_PER_STEP = 4;
@@ -47,14 +47,14 @@
   const clock = new decisions.clock.FakeClock(1000);
   const random = decisions.random.seeded(seed);
   const directory = new directories.Directory({
-    ...{clock, log: logs.NO_LOG, regionByZone: new Map()},
+    ...{clock, log: logs.NO_LOG, regionByZone: new Map(), heartbeatMs: 1200},
     onChange: () => undefined,
   });
   const common = {service: 's', address: '10.0.0.1:80', zone: 'z'};
   for (const version of ['v1', 'v2']) {
     directory.onServerEntry(version, {
       ...{...common, id: version, version, capacity: 4},
-      ...{isDraining: false, startedAtMs: 0},
+      ...{isDraining: false, startedAtMs: 0, heartbeats: 0},
     });
   }
   const states: rollouts.RolloutState[] = [];
--- a/packages/gateway/src/rollouts.ts
+++ b/packages/gateway/src/rollouts.ts
@@ -21,8 +21,8 @@
   readonly service: string;
   readonly to: string;
   readonly durationMs: number;
-  /** Increases with every order of the service. */
-  readonly revision: number;
+  /** Where the order is in the store; later with every order of the service. */
+  readonly position: decisions.storeposition.StorePosition;
 }
 
 /** One step of a rollout: the candidate's share of traffic from a fraction of the rollout's duration on. */
@@ -41,6 +41,8 @@
 const DECISION_FRACTION = 0.86;
 /** The number of candidate samples required, besides the proof that it is no slower, before its share is raised and before the rollout is completed. */
 const MIN_SAMPLES = 6;
+/** The most orders kept of a service that a later one has replaced. */
+const MAX_REPLACED_ORDERS = 8;
 /** How long the final state is sent to the other hosts after the decision. */
 const ANNOUNCE_MS = 20_000;
 
@@ -58,10 +60,17 @@
     order: RolloutOrder,
     state: RolloutState,
   ) => Promise<boolean>;
+  /** Called when a state has been written again that the store had lost. */
+  readonly onRewritten?: (key: string) => void;
 }
 
 interface Rollout {
-  readonly order: RolloutOrder;
+  /** The order; its position changes when it is written again after a restore of the store. */
+  order: RolloutOrder;
+  /** The ids of the rollout in messages, one for each position of its order. */
+  readonly ids: Set<string>;
+  /** Earlier orders of the service, the oldest first. */
+  readonly replaced: readonly RolloutOrder[];
   readonly startedMs: number;
   state: RolloutState;
   /** When the state became final on this host; 0 before that. */
@@ -71,8 +80,10 @@
   /** The candidate's share of traffic, from 0 to 1, valid until `shareUntilMs`. */
   share: number;
   shareUntilMs: number;
-  /** The last state written to the store. */
+  /** The last state written to the store; undefined when the store may have lost it. */
   published: RolloutState | undefined;
+  /** True from a restore of the store until the state is written again. */
+  isForgotten: boolean;
   isPublishing: boolean;
   /** Samples and times that have not been sent to the driver. */
   unsent: decisions.evidence.Sample[];
@@ -88,6 +99,8 @@
 export class Rollouts {
   private readonly rollouts = new Map<string, Rollout>();
   private readonly timers: NodeJS.Timeout[] = [];
+  /** How often the store has come back from an older copy. */
+  private restores = 0;
 
   constructor(private readonly options: RolloutsOptions) {}
 
@@ -104,12 +117,37 @@
     for (const timer of this.timers) clearInterval(timer);
   }
 
-  /** Starts a rollout; an order whose revision is not newer than the known one is ignored. */
+  /**
+   * Starts a rollout. An order whose position is not later than the known one
+   * is ignored, and after a restore of the store so is a row of its copy with
+   * an order that a later one had replaced. The known order, seen in a later
+   * era for the first time, goes on as the same rollout.
+   */
   onOrder(order: RolloutOrder): void {
     const known = this.rollouts.get(order.service);
-    if (known && known.order.revision >= order.revision) return;
+    if (known) {
+      if (!order.position.isAfter(known.order.position)) return;
+      const isRestored = known.order.position.isOfEarlierEraThan(
+        order.position,
+      );
+      if (isRestored && isSameOrder(known.order, order)) {
+        known.order = order;
+        known.ids.add(rolloutIdOf(order));
+        return;
+      }
+      const isCopy = known.replaced.some(
+        old =>
+          isSameOrder(old, order) && order.position.mayBeCopyOf(old.position),
+      );
+      if (isRestored && isCopy) return;
+    }
     this.rollouts.set(order.service, {
       order,
+      ids: new Set([rolloutIdOf(order)]),
+      replaced: known
+        ? [...known.replaced, known.order].slice(-MAX_REPLACED_ORDERS)
+        : [],
+      isForgotten: false,
       startedMs: this.nowMs,
       state: 'in-progress',
       decidedMs: 0,
@@ -126,6 +164,15 @@
     this.updateCandidates();
   }
 
+  /** Writes the states of all rollouts again, since the store came back from an older copy. */
+  onStoreRestored(): void {
+    this.restores++;
+    for (const rollout of this.rollouts.values()) {
+      rollout.published = undefined;
+      rollout.isForgotten = true;
+    }
+  }
+
   /** Applies a state read from the store; only a final state has an effect. */
   onRecordedState(service: string, to: string, state: RolloutState): void {
     const rollout = this.rollouts.get(service);
@@ -166,8 +213,8 @@
 
   /** Adds samples and times from another host. */
   onEvidence(body: peers.messages.MessageBodies['evidence']): void {
-    const rollout = [...this.rollouts.values()].find(
-      ({order}) => rolloutIdOf(order) === body.moveId,
+    const rollout = [...this.rollouts.values()].find(({ids}) =>
+      ids.has(body.moveId),
     );
     if (!rollout) return;
     for (const sample of body.samples) {
@@ -181,7 +228,7 @@
   /** Applies a share, or a final state, sent by the driver. */
   onShare(body: peers.messages.MessageBodies['share']): void {
     const rollout = this.rollouts.get(body.service);
-    if (!rollout || rolloutIdOf(rollout.order) !== body.moveId) return;
+    if (!rollout?.ids.has(body.moveId)) return;
     const finalState = FINAL_BY_FENCE.get(body.fence);
     if (finalState)
       return this.decide(rollout, finalState, `told by ${body.driver}`);
@@ -248,11 +295,16 @@
   private async publish(rollout: Rollout): Promise<void> {
     if (rollout.isPublishing || rollout.published === rollout.state) return;
     rollout.isPublishing = true;
-    const {state} = rollout;
-    if (await this.options.publishState(rollout.order, state)) {
-      rollout.published = state;
-    }
+    const {restores} = this;
+    const {state, order} = rollout;
+    const isWritten = await this.options.publishState(order, state);
     rollout.isPublishing = false;
+    // A write that a restore overtook may be lost.
+    if (!isWritten || restores !== this.restores) return;
+    rollout.published = state;
+    if (!rollout.isForgotten) return;
+    rollout.isForgotten = false;
+    this.options.onRewritten?.(order.service);
   }
 
   private sendShares(rollout: Rollout): void {
@@ -316,7 +368,13 @@
   [FENCE_BY_STATE.reverted, 'reverted'],
 ]);
 
-/** Identifies a rollout in messages between hosts, as `moveId`. */
-function rolloutIdOf(order: RolloutOrder): string {
-  return `${order.service}/${order.to}/${order.revision}`;
+function isSameOrder(a: RolloutOrder, b: RolloutOrder): boolean {
+  return (
+    a.service === b.service && a.to === b.to && a.durationMs === b.durationMs
+  );
+}
+
+/** Identifies a rollout in messages between hosts, as `moveId`; without the era, which older builds do not know. */
+function rolloutIdOf({service, to, position}: RolloutOrder): string {
+  return `${service}/${to}/${position.encode().revision}`;
 }
