Members: write the lease once while the store has not answered yet

After a restore of the store a host writes its lease again and reads all leases. A tick in between started the same once more; its read was skipped as one that comes too soon after the last, so that the host took itself for one that has not joined and wrote its lease with every tick for 3 s. A join that runs is not started again.

The test also shows that leases missing from the copy come back, spread over 2 s, and that a host that left does not come back with the copy.

--- a/packages/fleet/src/members.test.ts
+++ b/packages/fleet/src/members.test.ts
@@ -22,7 +22,10 @@
   readonly sent = new Map<string, number>();
   /** How often the parts of any host were told of a change. */
   changes = 0;
-  private readonly rows: platform.table.Row[] = [];
+  /** The leases in the table. */
+  rows = new Map<string, platform.table.Row>();
+  /** When leases were written, in milliseconds. */
+  readonly writesMs: number[] = [];
   private readonly undelivered: (() => void)[] = [];
   private nowMs = 0;
 
@@ -58,10 +61,12 @@
       return true;
     };
     const table = {
-      scan: () => Promise.resolve(this.rows),
+      scan: () => Promise.resolve([...this.rows.values()]),
       commit: ({writes}: platform.table.Transaction) => {
         for (const {key, value} of writes) {
-          if (value) this.rows.push({key, value, version: 1});
+          this.writesMs.push(this.nowMs);
+          if (value) this.rows.set(key, {key, value, version: 1});
+          else this.rows.delete(key);
         }
         return Promise.resolve({kind: 'committed' as const, version: 1});
       },
@@ -140,3 +145,30 @@
   assert.equal(fleet.members.get('h0')?.serving.length, 61);
   assert.equal(fleet.changes, 1);
 });
+
+// Guards against hosts that new ones never find, and against one that left and comes back with the copy.
+test.test('leases are written again after a restore of the store', async t => {
+  t.mock.timers.enable({apis: ['setInterval', 'setTimeout']});
+  const fleet = new TestFleet(t.mock.timers);
+  await fleet.start();
+  const copy = new Map(fleet.rows);
+  copy.delete('host/h1');
+  const left = fleet.members.get('h0');
+  await left?.leave();
+  await fleet.advance(HEARD_WITHIN_MS);
+  assert.ok(!fleet.rows.has('host/h0'));
+  fleet.rows = copy;
+  fleet.writesMs.splice(0);
+  for (const members of fleet.members.values()) members.onStoreRestored();
+  await fleet.advance(3000);
+  assert.ok(fleet.rows.has('host/h1'));
+  assert.ok(!fleet.rows.has('host/h0'));
+  for (const members of fleet.members.values()) {
+    assert.ok(!members.serving.some(({host}) => host === 'h0'));
+    assert.equal(members.serving.length, HOSTS - 1);
+  }
+  // One write each, spread over time.
+  assert.equal(fleet.writesMs.length, HOSTS);
+  const [first, last] = [Math.min, Math.max].map(of => of(...fleet.writesMs));
+  assert.ok(last - first > 1500 && last - first <= 2000, `${first} ${last}`);
+});
--- a/packages/fleet/src/members.ts
+++ b/packages/fleet/src/members.ts
@@ -109,6 +109,8 @@
   private lastScanMs = -Infinity;
   /** True once this host has written its lease and read all leases; until then every tick tries again. */
   private hasJoined = false;
+  /** True while it does so, since a tick may come before the store has answered. */
+  private isJoining = false;
   private rejoinTimer: NodeJS.Timeout | undefined;
   /** True from a restore of the store until the lease is written again. */
   private isLeaseForgotten = false;
@@ -408,7 +410,10 @@
   }
 
   private async join(): Promise<void> {
+    if (this.isJoining) return;
+    this.isJoining = true;
     this.hasJoined = (await this.renew()) && (await this.scan());
+    this.isJoining = false;
     if (this.hasJoined) this.spread([this.membership.self]);
   }
 
