--- a/packages/gateway/src/directory.test.ts
+++ b/packages/gateway/src/directory.test.ts
@@ -111,3 +111,101 @@
     .flatMap(pool => pool.backendServers.map(server => server.name));
   assert.deepEqual(inPools, ['b']);
 });
+
+/** Returns a full list of entries. */
+function listOf(...entries: readonly directories.ServerEntry[]) {
+  return new Map(entries.map(one => [one.id, one]));
+}
+
+/** The time after which an entry is removed that has not been written again. */
+const EXPIRED_MS = 6000;
+
+// Guards against servers that are dropped although only the restored store does not know them yet.
+test.test('a server missing from a restored store is kept for a while', t => {
+  t.mock.timers.enable({apis: ['setTimeout']});
+  const directory = directoryWith(entry('a'), entry('b'), entry('c'));
+  directory.replaceServerEntries(listOf(entry('c')), true);
+  assert.deepEqual(names(directory), ['a', 'b', 'c']);
+  t.mock.timers.tick(2000);
+  directory.onServerEntry('a', entry('a'));
+  t.mock.timers.tick(2000);
+  assert.deepEqual(names(directory), ['a', 'c']);
+});
+
+// Guards against requests to a server that leaves, as a restored store lists it as healthy.
+test.test('a start that drained is not used again, a later one is', t => {
+  t.mock.timers.enable({apis: ['setTimeout']});
+  const start = entry('a', {startedAtMs: 5});
+  const directory = directoryWith(start, entry('b'));
+  directory.onServerEntry('a', {...start, isDraining: true});
+  directory.replaceServerEntries(listOf(start, entry('b')), true);
+  t.mock.timers.tick(EXPIRED_MS);
+  directory.onServerEntry('a', {...start, heartbeats: 9});
+  assert.deepEqual(names(directory), ['b']);
+  directory.onServerEntry('a', {...start, startedAtMs: 6});
+  assert.deepEqual(names(directory), ['b', 'a']);
+});
+
+// Guards against requests to a server that is gone, as a restored store still lists it.
+const RETURNS: Readonly<
+  Record<string, (directory: directories.Directory) => void>
+> = {
+  'is written again': directory => directory.onServerEntry('a', entry('a')),
+  'shows a later heartbeat': directory => {
+    const later = entry('a', {heartbeats: 2});
+    directory.replaceServerEntries(listOf(later, entry('b')), true);
+  },
+  'does not expire': () => test.mock.timers.tick(EXPIRED_MS),
+};
+for (const [name, comeBack] of Object.entries(RETURNS)) {
+  test.test(`a server that was gone is used once its entry ${name}`, () => {
+    test.mock.timers.enable({apis: ['setTimeout']});
+    const directory = directoryWith(entry('a'), entry('b'));
+    // Only entries that are gone within a while of an outage are kept.
+    directory.replaceServerEntries(listOf(entry('b')));
+    test.mock.timers.tick(EXPIRED_MS);
+    assert.deepEqual(names(directory), ['b']);
+    directory.replaceServerEntries(listOf(entry('a'), entry('b')), true);
+    test.mock.timers.tick(1000);
+    assert.deepEqual(names(directory), ['b']);
+    comeBack(directory);
+    assert.deepEqual([...names(directory)].sort(), ['a', 'b']);
+    test.mock.timers.reset();
+  });
+}
+
+test.test('a server that was gone stays out when its entry expires', t => {
+  t.mock.timers.enable({apis: ['setTimeout']});
+  const directory = directoryWith(entry('a'), entry('b'));
+  directory.onServerEntry('a', undefined);
+  t.mock.timers.tick(EXPIRED_MS);
+  directory.replaceServerEntries(listOf(entry('a'), entry('b')), true);
+  directory.onServerEntry('a', undefined);
+  t.mock.timers.tick(EXPIRED_MS);
+  assert.deepEqual(names(directory), ['b']);
+});
+
+test.test('an earlier start in a restored store replaces no later one', t => {
+  t.mock.timers.enable({apis: ['setTimeout']});
+  const [earlier, later] = [5, 6].map(startedAtMs =>
+    entry('a', {startedAtMs, address: `10.0.0.${startedAtMs}:80`}),
+  );
+  const directory = directoryWith(earlier, later, entry('b'));
+  directory.replaceServerEntries(listOf(earlier, entry('b')), true);
+  assert.equal(directory.entry('a'), later);
+  directory.onServerEntry('a', later);
+  t.mock.timers.tick(EXPIRED_MS);
+  assert.equal(directory.entry('a'), later);
+});
+
+test.test('only the latest starts that left are remembered', () => {
+  const directory = directoryWith(entry('b'));
+  const starts = Array.from({length: 5000}, (_, i) =>
+    entry(`s${i}`, {startedAtMs: 5}),
+  );
+  for (const start of starts) {
+    directory.onServerEntry(start.id, {...start, isDraining: true});
+  }
+  directory.onServerEntries(listOf(starts[0], starts[4999]));
+  assert.deepEqual(names(directory), ['b', 's0']);
+});
--- a/packages/gateway/src/rollouts.test.ts
+++ b/packages/gateway/src/rollouts.test.ts
@@ -33,19 +33,12 @@
 const SPEEDS = [1, 1, 4];
 const SPREAD = 0.5;
 
-/**
- * Simulates a rollout on one host under load; `fails` decides whether a request
- * to the candidate fails, and `slowFactor` is by how much it is slower. Answers
- * that take longer than `maxAnswerMs` end too late for a sample.
- */
-async function simulate(
-  fails: (timeFraction: number) => boolean,
-  slowFactor: (timeFraction: number) => number = () => 1,
-  seed = 7,
-  maxAnswerMs = Infinity,
-): Promise<Simulation> {
+/** Creates the rollouts of a fleet's only host, with a backend server of each version, on a fake clock. */
+function setUp(
+  random: decisions.random.Random,
+  publishState: rollouts.RolloutsOptions['publishState'],
+) {
   const clock = new decisions.clock.FakeClock(1000);
-  const random = decisions.random.seeded(seed);
   const directory = new directories.Directory({
     ...{clock, log: logs.NO_LOG, regionByZone: new Map(), heartbeatMs: 1200},
     onChange: () => undefined,
@@ -57,7 +50,6 @@
       ...{isDraining: false, startedAtMs: 0, heartbeats: 0},
     });
   }
-  const states: rollouts.RolloutState[] = [];
   const links = {} as peers.links.Links;
   const router = new routers.Router({
     ...{host: 'h', links, member: () => undefined},
@@ -65,10 +57,27 @@
   const rollout = new rollouts.Rollouts({
     ...{host: 'h', clock, random, router, directory, log: logs.NO_LOG},
     servingHosts: () => ['h'],
-    publishState: (_, state) => {
-      states.push(state);
-      return Promise.resolve(true);
-    },
+    publishState,
+  });
+  return {clock, rollout};
+}
+
+/**
+ * Simulates a rollout on one host under load; `fails` decides whether a request
+ * to the candidate fails, and `slowFactor` is by how much it is slower. Answers
+ * that take longer than `maxAnswerMs` end too late for a sample.
+ */
+async function simulate(
+  fails: (timeFraction: number) => boolean,
+  slowFactor: (timeFraction: number) => number = () => 1,
+  seed = 7,
+  maxAnswerMs = Infinity,
+): Promise<Simulation> {
+  const random = decisions.random.seeded(seed);
+  const states: rollouts.RolloutState[] = [];
+  const {clock, rollout} = setUp(random, (_, state) => {
+    states.push(state);
+    return Promise.resolve(true);
   });
   rollout.onOrder(ORDER);
   let candidate = 0;
@@ -165,3 +174,105 @@
     assert.equal(states[1], 'reverted', `seed ${seed}`);
   }
 });
+
+/** Returns the order of `to` at a position of the store. */
+function orderAt(
+  era: number,
+  revision: number,
+  to = 'v2',
+): rollouts.RolloutOrder {
+  const position = decisions.storeposition.StorePosition.of(era, revision);
+  return {...ORDER, to, position};
+}
+
+/** Creates the rollouts of a host; `run` lets time pass, `written` holds each state written with its version. */
+function recording() {
+  const written: string[] = [];
+  const {clock, rollout} = setUp(decisions.random.seeded(1), (order, state) => {
+    written.push(`${order.to} ${state}`);
+    return Promise.resolve(true);
+  });
+  const run = async (forMs: number) => {
+    for (let ms = 0; ms < forMs; ms += STEP_MS) {
+      clock.advance(STEP_MS);
+      rollout.drive();
+      await timers.setImmediate();
+    }
+  };
+  return {rollout, written, run};
+}
+
+// Guards against a rollout that starts over as the restored store holds its order at a lower revision.
+test.test(
+  'an order written again after a restore goes on as one rollout',
+  async () => {
+    const {rollout, written, run} = recording();
+    rollout.onOrder(orderAt(1, 9));
+    await run(6000);
+    rollout.onStoreRestored();
+    rollout.onOrder(orderAt(2, 4));
+    await run(3000);
+    assert.deepEqual(written, [
+      'v2 in-progress',
+      'v2 in-progress',
+      'v2 reverted',
+    ]);
+  },
+);
+
+test.test('an order written again within an era is a new one', async () => {
+  const {rollout, written, run} = recording();
+  rollout.onOrder(orderAt(1, 9));
+  await run(9000);
+  rollout.onOrder(orderAt(1, 10));
+  await run(STEP_MS);
+  assert.deepEqual(written, [
+    'v2 in-progress',
+    'v2 reverted',
+    'v2 in-progress',
+  ]);
+});
+
+// Guards against an order that the restored store's lower revision makes look old.
+test.test('another order after a restore starts a rollout', async () => {
+  const {rollout, written, run} = recording();
+  rollout.onOrder(orderAt(1, 9));
+  await run(STEP_MS);
+  rollout.onOrder(orderAt(2, 4, 'v3'));
+  await run(STEP_MS);
+  assert.deepEqual(written, ['v2 in-progress', 'v3 in-progress']);
+});
+
+// Guards against an order that a later one replaced and that comes back with a copy of the store.
+test.test('an order replaced before a restore does not come back', async () => {
+  const {rollout, written, run} = recording();
+  rollout.onOrder(orderAt(1, 5));
+  rollout.onOrder(orderAt(1, 9, 'v3'));
+  await run(STEP_MS);
+  rollout.onOrder(orderAt(2, 5));
+  await run(STEP_MS);
+  assert.deepEqual(written, ['v3 in-progress']);
+  rollout.onOrder(orderAt(2, 7));
+  await run(STEP_MS);
+  assert.deepEqual(written, ['v3 in-progress', 'v2 in-progress']);
+});
+
+// Guards against a state that a restore took away after the store had accepted it.
+test.test('a state written across a restore is written again', async () => {
+  const replies: ((isWritten: boolean) => void)[] = [];
+  const {rollout} = setUp(
+    decisions.random.seeded(1),
+    () => new Promise(resolve => replies.push(resolve)),
+  );
+  rollout.onOrder(orderAt(1, 9));
+  rollout.drive();
+  rollout.onStoreRestored();
+  replies[0](true);
+  await timers.setImmediate();
+  rollout.drive();
+  assert.equal(replies.length, 2);
+  replies[1](true);
+  await timers.setImmediate();
+  rollout.drive();
+  assert.equal(replies.length, 2);
+});
