Directory: a second restore holds a server that was gone for longer

Two restores of the store in a row: the second brings the entry of a server that was gone back for another three heartbeat intervals, but it was used when those of the first were over. Test on the code before: not ok - a second restore holds a server that was gone for longer. The time starts anew.

--- a/packages/gateway/src/directory.test.ts
+++ b/packages/gateway/src/directory.test.ts
@@ -209,3 +209,19 @@
   directory.onServerEntries(listOf(starts[0], starts[4999]));
   assert.deepEqual(names(directory), ['b', 's0']);
 });
+
+// Guards against a server that was gone and is used as a second restore brings its entry back before it expires.
+test.test('a second restore holds a server that was gone for longer', t => {
+  t.mock.timers.enable({apis: ['setTimeout']});
+  const directory = directoryWith(entry('a'), entry('b'));
+  directory.onServerEntry('a', undefined);
+  t.mock.timers.tick(EXPIRED_MS);
+  const copy = listOf(entry('a'), entry('b'));
+  directory.replaceServerEntries(copy, true);
+  t.mock.timers.tick(4000);
+  directory.replaceServerEntries(copy, true);
+  t.mock.timers.tick(4000);
+  assert.deepEqual(names(directory), ['b']);
+  t.mock.timers.tick(2000);
+  assert.deepEqual(names(directory), ['b', 'a']);
+});
--- a/packages/gateway/src/directory.ts
+++ b/packages/gateway/src/directory.ts
@@ -231,7 +231,7 @@
     for (const [id, entry] of all) {
       const mayHaveLeft = isRestored || this.heldTimers.has(id);
       if (entry && mayHaveLeft && this.isCopyOfDeparted(entry)) {
-        this.hold(id, entry);
+        this.hold(id, entry, isRestored);
       } else {
         changes.set(id, entry);
       }
@@ -285,9 +285,12 @@
     return departure.isFinal || entry.heartbeats <= departure.heartbeats;
   }
 
-  /** Uses an entry only if it is still listed when it would have expired. */
-  private hold(id: string, entry: ServerEntry): void {
-    if (this.heldTimers.has(id) || this.hasDeparted(entry)) return;
+  /** Uses an entry only if it is still listed when it would have expired; a restore of the store may prolong that. */
+  private hold(id: string, entry: ServerEntry, isRestored: boolean): void {
+    if (this.heldTimers.has(id) && !isRestored) return;
+    clearTimeout(this.heldTimers.get(id));
+    this.heldTimers.delete(id);
+    if (this.hasDeparted(entry)) return;
     const {heartbeatMs, log} = this.options;
     log.event('server-left', '', {
       server: id,
