--- a/packages/peers/src/messages.test.ts
+++ b/packages/peers/src/messages.test.ts
@@ -44,3 +44,14 @@
 test.test('malformed bytes make decode throw', () => {
   assert.throws(() => messages.decode(Buffer.from([0xff, 0xff, 0xff])));
 });
+
+// Guards against an older build's message that looks as if it were of the era 0.
+test.test('a feed of a build that knows no eras states none', () => {
+  const body = {
+    ...{table: 't', isAnswering: true, ageMs: 0, rows: []},
+    ...{fromRevision: 1, toRevision: 2},
+  };
+  const sent = [{kind: 'feed', body}] as unknown as messages.Message[];
+  const [received] = messages.decode(messages.encode(sent));
+  assert.deepEqual({...received.body}, {...body, hasEra: false, era: 0});
+});
