Members: write the lease once while reads of leases fail

What operators saw: while the store refuses to list the leases but takes writes, each host wrote its lease every 500 ms, as it joined from the beginning with every tick. After a restore of the store all hosts join at once, and a large fleet passes the store's rate of writes.

Evidence, test on the code before (66 hosts, 6 s): not ok - a lease is written once while reads of leases fail expected 66 writes, actual 719

Change: once the lease is written, only the read is tried again.

--- a/packages/fleet/src/members.test.ts
+++ b/packages/fleet/src/members.test.ts
@@ -24,6 +24,8 @@
   changes = 0;
   /** The leases in the table. */
   rows = new Map<string, platform.table.Row>();
+  /** True while the table refuses reads of many rows. */
+  isScanRefused = false;
   /** When leases were written, in milliseconds. */
   readonly writesMs: number[] = [];
   private readonly undelivered: (() => void)[] = [];
@@ -61,7 +63,10 @@
       return true;
     };
     const table = {
-      scan: () => Promise.resolve([...this.rows.values()]),
+      scan: () =>
+        this.isScanRefused
+          ? Promise.reject(new Error('refused'))
+          : Promise.resolve([...this.rows.values()]),
       commit: ({writes}: platform.table.Transaction) => {
         for (const {key, value} of writes) {
           this.writesMs.push(this.nowMs);
@@ -172,3 +177,15 @@
   const [first, last] = [Math.min, Math.max].map(of => of(...fleet.writesMs));
   assert.ok(last - first > 1500 && last - first <= 2000, `${first} ${last}`);
 });
+
+// Guards against a fleet that writes all its leases twice a second while the store refuses to list them.
+test.test('a lease is written once while reads of leases fail', async t => {
+  t.mock.timers.enable({apis: ['setInterval', 'setTimeout']});
+  const fleet = new TestFleet(t.mock.timers);
+  await fleet.start();
+  fleet.writesMs.splice(0);
+  fleet.isScanRefused = true;
+  for (const members of fleet.members.values()) members.onStoreRestored();
+  await fleet.advance(6000);
+  assert.equal(fleet.writesMs.length, HOSTS);
+});
--- a/packages/fleet/src/members.ts
+++ b/packages/fleet/src/members.ts
@@ -109,6 +109,7 @@
   private lastScanMs = -Infinity;
   /** True once this host has written its lease and read all leases; until then every tick tries again. */
   private hasJoined = false;
+  private isLeaseWritten = false;
   /** True while it does so, since a tick may come before the store has answered. */
   private isJoining = false;
   private rejoinTimer: NodeJS.Timeout | undefined;
@@ -412,7 +413,8 @@
   private async join(): Promise<void> {
     if (this.isJoining) return;
     this.isJoining = true;
-    this.hasJoined = (await this.renew()) && (await this.scan());
+    this.isLeaseWritten ||= await this.renew();
+    this.hasJoined = this.isLeaseWritten && (await this.scan());
     this.isJoining = false;
     if (this.hasJoined) this.spread([this.membership.self]);
   }
@@ -423,6 +425,7 @@
     }
     this.isLeaseForgotten = true;
     this.hasJoined = false;
+    this.isLeaseWritten = false;
     this.lastScanMs = -Infinity;
     await this.join();
   }
