Log when an attempt is given up for silence, and whether it can be repeated

Of an attempt that ended without an answer the log told its cause, but not whether the host had given it up or its backend server had broken it off, nor whether a repeat was possible then. No change of logic: the budget's check is split from its count.

--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -331,7 +331,10 @@
     const timeoutMs = this.responseTimeoutMs(accepted, progress);
     // Infinity is replaced by the longest delay that setTimeout accepts.
     const timer = setTimeout(
-      () => timeout.abort(new Error('silent')),
+      () => {
+        this.logSilence(accepted, attempt, timeoutMs);
+        timeout.abort(new Error('silent'));
+      },
       Math.min(timeoutMs, 2 ** 31 - 1),
     );
     const sendSignal = AbortSignal.any([signal, timeout.signal]);
@@ -379,6 +382,20 @@
     }
   }
 
+  /** Logs that an attempt is given up for silence, and whether a repeat fits into the budget. */
+  private logSilence(
+    accepted: requests.AcceptedRequest,
+    attempt: Attempt,
+    silentMs: number,
+  ): void {
+    const {log, fleetLimits} = this.options;
+    log.event('silent', accepted.received.id, {
+      ...{server: attempt.entry.id, send: attempt.number, silentMs},
+      afterMs: Math.round(this.nowMs - attempt.sentMs),
+      hasRetryLeft: fleetLimits.hasRetryLeft(accepted.service),
+    });
+  }
+
   /** Logs once for a start of a backend server that it states something that can't be read. */
   private logUnreadable(
     entry: directories.ServerEntry,
--- a/packages/gateway/src/fleetlimits.ts
+++ b/packages/gateway/src/fleetlimits.ts
@@ -68,6 +68,13 @@
 
   /** Takes a retry from the service's budget; false, without counting it, when the budget is used up. */
   tryCountRetry(service: string): boolean {
+    if (!this.hasRetryLeft(service)) return false;
+    this.shared.add(RETRY_PREFIX + service, 1, this.nowMs);
+    return true;
+  }
+
+  /** True while the service's budget has room for a retry. */
+  hasRetryLeft(service: string): boolean {
     const {settings, members} = this.options;
     const nowMs = this.nowMs;
     const firstAttempts = this.shared.sum(
@@ -77,9 +84,7 @@
     const budget = settings.retryRatio * firstAttempts + settings.retrySlack;
     const limit = budget * RETRY_BUDGET_FRACTION;
     const key = RETRY_PREFIX + service;
-    if (!this.shared.fits(key, limit, members().length, nowMs)) return false;
-    this.shared.add(key, 1, nowMs);
-    return true;
+    return this.shared.fits(key, limit, members().length, nowMs);
   }
 
   /** As the hub: records a host's totals and answers with the sums over all hosts. */
--- a/packages/gateway/src/logs.ts
+++ b/packages/gateway/src/logs.ts
@@ -20,6 +20,7 @@
   | 'refused'
   | 'sent'
   | 'send-failed'
+  | 'silent'
   | 'resumed'
   | 'answered'
   | 'broken'
