Give up a silent attempt only once its repeat is certain

Callers saw streams cut, and 502, although the backend server was sound and would have gone on: a sound server may be silent for a second or so.

Cause: an attempt was aborted after 1.2 s without data (other requests after 2.5 times their objective) if its route allows a repeat at all. Only then were the retry budget, the pool and the slots asked, and each may refuse. An order of steps that gives up what it has before it holds what replaces it. Two other things counted as silence of the server: a caller that does not read, and a delay of the event loop, which runs the timer before it reads the data that has arrived.

Change: `SilenceWatch` secures a slot and a retry first, while the attempt goes on; data from the server ends that. If there is none, the attempt goes on and the watch asks again later. A repeat has a ticket of its own, since the attempt before still holds its slot. The line `silent` names the server of the repeat, or why there is none.

--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -16,15 +16,16 @@
 import * as crashprobes from './crashprobe.js';
 import * as requests from './request.js';
 import type * as rollouts from './rollouts.js';
+import * as silences from './silence.js';
 import * as suspectrejections from './suspectrejections.js';
 
 /** The maximum number of attempts of a request whatever its route allows, including attempts refused by backend servers. */
 const MAX_ATTEMPTS = 4;
-/** A resumable stream is resumed on another backend server after this time without data; time spent waiting for a slow caller counts too. */
-const STREAM_IDLE_TIMEOUT_MS = 1200;
-/** The response timeout after which an idempotent request is retried, as a multiple of its latency objective. */
-const RESPONSE_TIMEOUT_FACTOR = 2.5;
-const MIN_RESPONSE_TIMEOUT_MS = 300;
+/** A resumable stream is to be resumed on another backend server after this time without data. */
+const STREAM_SILENCE_MS = 1200;
+/** The time without a response after which an idempotent request is to be retried, as a multiple of its latency objective. */
+const RESPONSE_SILENCE_FACTOR = 2.5;
+const MIN_RESPONSE_SILENCE_MS = 300;
 /** The minimum time before the deadline for a retry. */
 const MIN_RETRY_TIME_MS = 60;
 /** An attempt without a first byte for this long counts against the backend server even if it ends because the caller disconnected or the deadline passed. */
@@ -61,11 +62,15 @@
   | {readonly kind: 'caller-left'}
   | requests.Rejection;
 
-/** One dispatch of a request to a backend server. */
-interface Attempt {
+/** A slot for an attempt, held until the attempt is done. */
+interface Placement {
   readonly grant: slotsModule.Grant;
   readonly entry: directories.ServerEntry;
   readonly isCandidate: boolean;
+}
+
+/** One dispatch of a request to a backend server. */
+interface Attempt extends Placement {
   readonly number: number;
   /** True when an earlier attempt went to the same backend server. */
   readonly isRepeat: boolean;
@@ -75,6 +80,7 @@
 /** An attempt in flight. */
 interface SentAttempt extends Attempt {
   readonly tracked: crashesModule.TrackedRequest;
+  readonly silence: silences.SilenceWatch<Placement>;
 }
 
 /** The state of a request over its attempts. */
@@ -84,6 +90,8 @@
   mayHaveRun: boolean;
   /** True when the next attempt has already been counted in the retry budget. */
   isRetryCounted: boolean;
+  /** Where the next attempt goes, counted in the retry budget; undefined unless the last one was given up for it. */
+  repeat: Placement | undefined;
   /** The backend servers of all attempts; the keeper avoids them for a retry. */
   readonly triedServers: string[];
   lastEventId: string | undefined;
@@ -127,6 +135,7 @@
       attempts: 0,
       mayHaveRun: false,
       isRetryCounted: false,
+      repeat: undefined,
       triedServers: [],
       lastEventId: forwarding.headers.value(
         received.headers,
@@ -148,6 +157,7 @@
       }
     } finally {
       clearTimeout(timer);
+      if (progress.repeat) this.release(progress.repeat);
     }
   }
 
@@ -174,6 +184,11 @@
     charged: Promise<requests.Rejection | undefined>,
   ): Promise<RetryDecision> {
     const {directory, slots, rollouts, metrics} = this.options;
+    const {repeat} = progress;
+    if (repeat) {
+      progress.repeat = undefined;
+      return this.sendTo(repeat, accepted, caller, progress, signal);
+    }
     const isCandidate = rollouts.usesCandidate(accepted.service);
     const pool = directory.pool(accepted.service, isCandidate);
     if (!pool) return this.giveUp(progress, 'no-backend-server');
@@ -213,8 +228,21 @@
       slots.done(grant.ticketId, {kind: 'not-admitted', isLeaving: true});
       return RETRY;
     }
+    const placement = {grant, entry, isCandidate};
+    return this.sendTo(placement, accepted, caller, progress, signal);
+  }
+
+  /** Counts the next attempt and sends it to the backend server whose slot is held. */
+  private sendTo(
+    placement: Placement,
+    accepted: requests.AcceptedRequest,
+    caller: callerresponses.CallerResponse,
+    progress: Progress,
+    signal: AbortSignal,
+  ): Promise<RetryDecision> {
+    const {entry} = placement;
     const attempt: Attempt = {
-      ...{grant, entry, isCandidate},
+      ...placement,
       number: ++progress.attempts,
       isRepeat: progress.triedServers.includes(entry.id),
       sentMs: this.nowMs,
@@ -222,7 +250,7 @@
     progress.triedServers.push(entry.id);
     if (attempt.number === 1)
       this.options.fleetLimits.countFirstAttempt(accepted.service);
-    else metrics.retries.inc({service: accepted.service});
+    else this.options.metrics.retries.inc({service: accepted.service});
     return this.send(accepted, caller, progress, attempt, signal);
   }
 
@@ -257,8 +285,10 @@
     progress: Progress,
   ): slotsModule.SlotRequest {
     const {received, account, demand, deadlineMs} = accepted;
+    // A repeat may wait for its slot while the attempt before holds one.
+    const suffix = progress.attempts === 0 ? '' : `#${progress.attempts}`;
     return {
-      requestId: received.id,
+      requestId: received.id + suffix,
       service: pool,
       account: {
         name: account?.name ?? '',
@@ -295,9 +325,7 @@
     const {names} = dialect;
     const {entry, grant} = attempt;
     const leftMs = Math.floor(accepted.deadlineMs - this.nowMs);
-    const canMeetFirstByteDeadline =
-      progress.hasRelayedBytes || this.nowMs < accepted.firstByteDeadlineMs;
-    if (leftMs <= 1 || !canMeetFirstByteDeadline) {
+    if (leftMs <= 1 || !this.isInTimeForFirstByte(accepted, progress)) {
       slots.done(grant.ticketId, {kind: 'cancelled'});
       return this.deadlineExceeded(progress);
     }
@@ -327,17 +355,8 @@
       limitPerS,
     });
     if (limitPerS !== undefined) metrics.limitedSends.inc({server: entry.id});
-    const timeout = new AbortController();
-    const timeoutMs = this.responseTimeoutMs(accepted, progress);
-    // Infinity is replaced by the longest delay that setTimeout accepts.
-    const timer = setTimeout(
-      () => {
-        this.logSilence(accepted, attempt, timeoutMs);
-        timeout.abort(new Error('silent'));
-      },
-      Math.min(timeoutMs, 2 ** 31 - 1),
-    );
-    const sendSignal = AbortSignal.any([signal, timeout.signal]);
+    const silence = this.watchSilence(accepted, progress, attempt);
+    const sendSignal = AbortSignal.any([signal, silence.signal]);
     try {
       const result = await upstream.send(
         {
@@ -371,31 +390,85 @@
         accepted,
         caller,
         progress,
-        {...attempt, tracked},
+        {...attempt, tracked, silence},
         result,
         signal,
-        timer,
       );
     } finally {
-      clearTimeout(timer);
+      silence.stop();
+      progress.repeat = silence.repeat;
       tracked.end();
     }
   }
 
-  /** Logs that an attempt is given up for silence, and whether a repeat fits into the budget. */
-  private logSilence(
+  /** Watches an attempt for silence, so that it is given up once its repeat has a slot. */
+  private watchSilence(
     accepted: requests.AcceptedRequest,
+    progress: Progress,
     attempt: Attempt,
-    silentMs: number,
-  ): void {
-    const {log, fleetLimits} = this.options;
-    log.event('silent', accepted.received.id, {
-      ...{server: attempt.entry.id, send: attempt.number, silentMs},
-      afterMs: Math.round(this.nowMs - attempt.sentMs),
-      hasRetryLeft: fleetLimits.hasRetryLeft(accepted.service),
+  ): silences.SilenceWatch<Placement> {
+    const silenceMs = this.silenceMs(accepted, progress);
+    return new silences.SilenceWatch<Placement>({
+      silenceMs,
+      secure: async signal => {
+        const repeat = await this.secureRepeat(accepted, progress, signal);
+        this.options.log.event('silent', accepted.received.id, {
+          ...{server: attempt.entry.id, send: attempt.number, silenceMs},
+          afterMs: Math.round(this.nowMs - attempt.sentMs),
+          repeat: typeof repeat === 'string' ? repeat : repeat.entry.id,
+        });
+        return typeof repeat === 'string' ? undefined : repeat;
+      },
+      release: repeat => this.release(repeat),
     });
   }
 
+  /** Takes a slot and a retry for the repeat of an attempt in flight; resolves to the reason when there is none. */
+  private async secureRepeat(
+    accepted: requests.AcceptedRequest,
+    progress: Progress,
+    signal: AbortSignal,
+  ): Promise<Placement | string> {
+    const {directory, slots, rollouts, fleetLimits} = this.options;
+    const {service} = accepted;
+    if (!this.couldRetryAfterRunning(accepted, progress)) return 'not-allowed';
+    if (!fleetLimits.hasRetryLeft(service)) return 'no-retry-left';
+    const isCandidate = rollouts.usesCandidate(service);
+    const pool = directory.pool(service, isCandidate);
+    if (!pool) return 'no-backend-server';
+    const slotRequest = this.slotRequest(accepted, pool, progress);
+    const grant = await slots.acquire(slotRequest, signal).catch(onlyFailure);
+    if (grant instanceof decisions.verdict.FailureError) {
+      return signal.aborted ? 'not-silent' : grant.failure.type;
+    }
+    const entry = directory.entry(grant.server.name);
+    const isUsable =
+      entry !== undefined &&
+      !signal.aborted &&
+      this.isInTimeForFirstByte(accepted, progress) &&
+      (slotRequest.isSuspect || this.standingOf(accepted).status === 'clear') &&
+      this.couldRetryAfterRunning(accepted, progress) &&
+      fleetLimits.tryCountRetry(service);
+    if (isUsable) return {grant, entry, isCandidate};
+    slots.done(grant.ticketId, {kind: 'cancelled'});
+    return signal.aborted ? 'not-silent' : 'not-usable';
+  }
+
+  /** Returns the slot of an attempt that is not sent. */
+  private release({grant}: Placement): void {
+    this.options.slots.done(grant.ticketId, {kind: 'cancelled'});
+  }
+
+  /** False once the caller has given up, as it has received nothing. */
+  private isInTimeForFirstByte(
+    accepted: requests.AcceptedRequest,
+    progress: Progress,
+  ): boolean {
+    return (
+      progress.hasRelayedBytes || this.nowMs < accepted.firstByteDeadlineMs
+    );
+  }
+
   /** Logs once for a start of a backend server that it states something that can't be read. */
   private logUnreadable(
     entry: directories.ServerEntry,
@@ -434,7 +507,6 @@
     attempt: SentAttempt,
     head: forwarding.upstream.ResponseHead,
     signal: AbortSignal,
-    timer: NodeJS.Timeout,
   ): Promise<RetryDecision> {
     const {response} = head;
     const type = response.headers['content-type'] ?? '';
@@ -444,15 +516,12 @@
       type.includes('event-stream');
     if (isStream) {
       return this.relayStream(
-        ...([
-          accepted,
-          caller,
-          progress,
-          attempt,
-          head,
-          signal,
-          timer,
-        ] as const),
+        accepted,
+        caller,
+        progress,
+        attempt,
+        head,
+        signal,
       );
     }
     return this.relayWhole(accepted, caller, progress, attempt, head, signal);
@@ -516,7 +585,6 @@
     attempt: SentAttempt,
     head: forwarding.upstream.ResponseHead,
     signal: AbortSignal,
-    timer: NodeJS.Timeout,
   ): Promise<RetryDecision> {
     const {response} = head;
     const isResumable = accepted.route.isResumable;
@@ -544,8 +612,7 @@
       for await (const chunk of response) {
         const batch = framer.push(chunk as Buffer);
         const bytes = isResumable ? batch.bytes : (chunk as Buffer);
-        if (isResumable) timer.refresh();
-        else clearTimeout(timer);
+        attempt.silence.onData();
         const isFirst = eventCount === 0 && batch.bytes.length > 0;
         eventCount += batch.count;
         if (isFirst && resumedAfter !== undefined) {
@@ -564,7 +631,10 @@
           this.observeFirstByte(accepted);
           caller.start(response);
         }
-        if (!caller.write(bytes)) await caller.waitForDrain();
+        if (caller.write(bytes)) continue;
+        attempt.silence.stop();
+        await caller.waitForDrain();
+        attempt.silence.onData();
       }
       const isCut =
         head.endsWithConnection &&
@@ -705,17 +775,17 @@
     return ended(requests.rejection(status, reason, undefined, detail));
   }
 
-  /** How long to wait for a response or a stream's next data; Infinity when no retry could follow. */
-  private responseTimeoutMs(
+  /** How long a response or a stream's next data may be missing before a repeat is secured; Infinity when no retry could follow. */
+  private silenceMs(
     accepted: requests.AcceptedRequest,
     progress: Progress,
   ): number {
     const {route} = accepted;
     if (!this.couldRetryAfterRunning(accepted, progress)) return Infinity;
-    if (route.repeatability === 'stream') return STREAM_IDLE_TIMEOUT_MS;
+    if (route.repeatability === 'stream') return STREAM_SILENCE_MS;
     return Math.max(
-      MIN_RESPONSE_TIMEOUT_MS,
-      route.objectiveMs * RESPONSE_TIMEOUT_FACTOR,
+      MIN_RESPONSE_SILENCE_MS,
+      route.objectiveMs * RESPONSE_SILENCE_FACTOR,
     );
   }
 
@@ -791,7 +861,7 @@
   'connect-failed': () => ({kind: 'unreachable'}),
   reset: hasCrashed => ({kind: hasCrashed ? 'crashed' : 'failed'}),
   'broken-answer': hasCrashed => ({kind: hasCrashed ? 'crashed' : 'failed'}),
-  // The caller is still connected: this host cancelled the attempt at its response timeout.
+  // The caller is still connected: this host gave up the attempt for its silence.
   cancelled: () => ({kind: 'silent'}),
   'timed-out': () => ({kind: 'failed'}),
   'foreign-answer': () => ({kind: 'failed'}),
@@ -813,6 +883,12 @@
   throw new Error(`resumed stream does not go on after ${after}: ${found}`);
 }
 
+/** Returns the failure of a slot request; throws any other error. */
+function onlyFailure(error: unknown): decisions.verdict.FailureError {
+  if (error instanceof decisions.verdict.FailureError) return error;
+  throw error;
+}
+
 function ended(result: DispatchResult): RetryDecision {
   return {kind: 'ended', ended: result};
 }
--- /dev/null
+++ b/packages/gateway/src/silence.ts
@@ -0,0 +1,77 @@
+/*
+ * Gives up a silent attempt of a request, but only once a repeat of it is
+ * certain: a sound backend server may fall silent for a while and go on.
+ */
+
+/** Dependencies of `SilenceWatch`; `Repeat` is what a repeat of the attempt needs. */
+export interface SilenceWatchOptions<Repeat> {
+  /** How long an attempt may be silent before a repeat is secured, in milliseconds; Infinity when none is possible. */
+  readonly silenceMs: number;
+  /**
+   * Secures a repeat; resolves to undefined when none is possible now. When
+   * `signal` aborts, the repeat is no longer needed.
+   */
+  readonly secure: (signal: AbortSignal) => Promise<Repeat | undefined>;
+  /** Returns a repeat that was secured but is not needed. */
+  readonly release: (repeat: Repeat) => void;
+}
+
+/** Watches one attempt for silence. */
+export class SilenceWatch<Repeat> {
+  private readonly controller = new AbortController();
+  private timer: NodeJS.Timeout | undefined;
+  private immediate: NodeJS.Immediate | undefined;
+  private securing: AbortController | undefined;
+  private secured: Repeat | undefined;
+
+  constructor(private readonly options: SilenceWatchOptions<Repeat>) {
+    this.arm();
+  }
+
+  /** Aborts when the attempt is to be given up, since `repeat` takes its place. */
+  get signal(): AbortSignal {
+    return this.controller.signal;
+  }
+
+  /** The repeat that takes the place of the attempt; undefined unless `signal` has aborted. */
+  get repeat(): Repeat | undefined {
+    return this.secured;
+  }
+
+  /** Starts the silence anew, after data of the attempt. */
+  onData(): void {
+    this.stop();
+    this.arm();
+  }
+
+  /** Stops watching: the attempt has ended, or what keeps it waiting is not its backend server. */
+  stop(): void {
+    clearTimeout(this.timer);
+    clearImmediate(this.immediate);
+    this.securing?.abort(new Error('the attempt is not silent any more'));
+    this.securing = undefined;
+  }
+
+  private arm(): void {
+    const {silenceMs} = this.options;
+    if (silenceMs === Infinity || this.signal.aborted) return;
+    this.timer = setTimeout(() => {
+      // After a delay of the event loop, data that has arrived is read first.
+      this.immediate = setImmediate(() => void this.secureRepeat());
+    }, silenceMs);
+  }
+
+  private async secureRepeat(): Promise<void> {
+    const securing = new AbortController();
+    this.securing = securing;
+    const repeat = await this.options.secure(securing.signal);
+    if (securing.signal.aborted) {
+      if (repeat !== undefined) this.options.release(repeat);
+      return;
+    }
+    this.securing = undefined;
+    if (repeat === undefined) return this.arm();
+    this.secured = repeat;
+    this.controller.abort(new Error('silent'));
+  }
+}
