Resume a stream that is older than its caller's first-byte patience

Callers saw streams end early, seconds after they had begun and with time and free slots left, when their backend server broke off or fell silent.

Cause: a slot request states by when the caller wants its first byte. The same limit was already waived where the attempt is sent, but not where its slot is asked for.

Change: once part of a stream has been relayed, the caller's patience counts from the last part. One function says when the caller gives up, for the slot request, the send and the repeat of a silent attempt.

--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -95,8 +95,8 @@
   /** The backend servers of all attempts; the keeper avoids them for a retry. */
   readonly triedServers: string[];
   lastEventId: string | undefined;
-  /** True when part of a stream's body has been relayed to the caller. */
-  hasRelayedBytes: boolean;
+  /** When part of a stream's body was last relayed to the caller; undefined before. */
+  relayedMs: number | undefined;
 }
 
 /** Whether a request is retried after an attempt (`again`) or has ended. */
@@ -141,7 +141,7 @@
         received.headers,
         this.options.dialect.names.lastEventId,
       ),
-      hasRelayedBytes: false,
+      relayedMs: undefined,
     };
     try {
       for (;;) {
@@ -300,7 +300,7 @@
       tier: accepted.tier,
       urgency: accepted.urgency,
       deadlineMs,
-      firstByMs: Math.min(deadlineMs, accepted.firstByteDeadlineMs),
+      firstByMs: Math.min(deadlineMs, this.callerGivesUpMs(accepted, progress)),
       onTimeByMs: Math.min(deadlineMs, accepted.onTimeDeadlineMs),
       promptTokens: demand?.promptTokens ?? 0,
       outputTokens:
@@ -325,7 +325,8 @@
     const {names} = dialect;
     const {entry, grant} = attempt;
     const leftMs = Math.floor(accepted.deadlineMs - this.nowMs);
-    if (leftMs <= 1 || !this.isInTimeForFirstByte(accepted, progress)) {
+    const isTooLate = this.nowMs >= this.callerGivesUpMs(accepted, progress);
+    if (leftMs <= 1 || isTooLate) {
       slots.done(grant.ticketId, {kind: 'cancelled'});
       return this.deadlineExceeded(progress);
     }
@@ -445,7 +446,7 @@
     const isUsable =
       entry !== undefined &&
       !signal.aborted &&
-      this.isInTimeForFirstByte(accepted, progress) &&
+      this.nowMs < this.callerGivesUpMs(accepted, progress) &&
       (slotRequest.isSuspect || this.standingOf(accepted).status === 'clear') &&
       this.couldRetryAfterRunning(accepted, progress) &&
       fleetLimits.tryCountRetry(service);
@@ -459,14 +460,13 @@
     this.options.slots.done(grant.ticketId, {kind: 'cancelled'});
   }
 
-  /** False once the caller has given up, as it has received nothing. */
-  private isInTimeForFirstByte(
-    accepted: requests.AcceptedRequest,
-    progress: Progress,
-  ): boolean {
-    return (
-      progress.hasRelayedBytes || this.nowMs < accepted.firstByteDeadlineMs
-    );
+  /** When the caller gives up unless it receives something before. */
+  private callerGivesUpMs(
+    {firstByteDeadlineMs, route}: requests.AcceptedRequest,
+    {relayedMs}: Progress,
+  ): number {
+    if (relayedMs === undefined) return firstByteDeadlineMs;
+    return relayedMs + route.callerPatienceMs;
   }
 
   /** Logs once for a start of a backend server that it states something that can't be read. */
@@ -590,9 +590,8 @@
     const isResumable = accepted.route.isResumable;
     const framer = new forwarding.events.EventFramer();
     // The id that a stream must go on after; undefined unless this attempt resumes one within its response.
-    const resumedAfter = progress.hasRelayedBytes
-      ? progress.lastEventId
-      : undefined;
+    const resumedAfter =
+      progress.relayedMs !== undefined ? progress.lastEventId : undefined;
     let firstByteMs = 0;
     let eventCount = 0;
     let isPaceKnown = false;
@@ -626,7 +625,7 @@
           this.addTiming(accepted, attempt, firstByteMs - attempt.sentMs, 0);
         }
         if (eventCount >= PACE_EVENTS) addPace();
-        progress.hasRelayedBytes = true;
+        progress.relayedMs = this.nowMs;
         if (!caller.isStarted) {
           this.observeFirstByte(accepted);
           caller.start(response);
@@ -706,7 +705,7 @@
     if (signal.aborted) {
       const isSilent = this.nowMs - attempt.sentMs >= SILENT_MS;
       const kind =
-        isSilent && !progress.hasRelayedBytes ? 'silent' : 'cancelled';
+        isSilent && progress.relayedMs === undefined ? 'silent' : 'cancelled';
       slots.done(grant.ticketId, {kind});
       this.addUnansweredTime(accepted, progress, attempt);
       return this.deadlineExceeded(progress);
@@ -754,7 +753,8 @@
     retryAfterMs = NO_SERVER_RETRY_AFTER_MS,
     detail = `after ${progress.attempts} attempts`,
   ): RetryDecision {
-    if (progress.hasRelayedBytes) return ended({kind: 'broken-off', reason});
+    if (progress.relayedMs !== undefined)
+      return ended({kind: 'broken-off', reason});
     const status = progress.mayHaveRun ? 502 : 503;
     const rejectionRetryAfterMs = progress.mayHaveRun
       ? undefined
@@ -770,7 +770,8 @@
     detail = `after ${progress.attempts} attempts`,
   ): RetryDecision {
     const reason = 'deadline';
-    if (progress.hasRelayedBytes) return ended({kind: 'broken-off', reason});
+    if (progress.relayedMs !== undefined)
+      return ended({kind: 'broken-off', reason});
     const status = progress.mayHaveRun ? 504 : 503;
     return ended(requests.rejection(status, reason, undefined, detail));
   }
@@ -831,7 +832,7 @@
     attempt: Attempt,
   ): void {
     const sinceMs = this.nowMs - attempt.sentMs;
-    if (progress.hasRelayedBytes) return;
+    if (progress.relayedMs !== undefined) return;
     if (sinceMs < accepted.route.objectiveMs) return;
     this.addTiming(accepted, attempt, sinceMs, 0);
   }
