Refuse what a stopping host has too little time for, and run the rest to the end

What callers saw: with a grace period of 6 s and a server that takes 3.2 s, requests that came 2.5 to 4.2 s after the stop signal were passed on and cut at 5.3 s with 502, non-idempotent ones among them. An answer that a slow caller still read was cut when the listener closed, 4.5 s after the signal. A request whose body or head still arrived got no answer at all.

Cause: stop() took requests for a fixed time, whatever the grace period, and never compared what is left with what a request needs. Work counted as over when its dispatch ended, not when its last byte was flushed; and http.Server.close() destroys connections whose response has been ended but not flushed. 0.7 s of the grace period went unused.

Change: Shutdown bounds the work of a stopping host. A request, also one that waits for a slot, and a repeat are sent only if their deadline lies before the end, or, for callers that may not know of the stop yet, if the longest recent duration of their route times 1.5 fits. All others get 503 at once, with Retry-After 0.1 s and Connection: close. What was sent runs until 0.3 s before the end (a tenth of a short grace period), then its caller is told 502 (503 if it did not run). CallerConnections closes the listener without cutting responses, closes idle connections only, and stop() waits until every connection is closed. Requests that are cut are logged (`cut`) and counted.

Evidence, new tests of path.test.ts on the code before: not ok - a stopping host refuses a request for /once/a that it has too little time for: 200 !== 503 (it took until after the grace period) not ok - the same for /stream/a: 200 !== 503 not ok - a request for /once/a runs until the end of the grace period: 502 !== 200 not ok - the same for /stream/a: not whole not ok - a request that waits for a slot of a stopping host is refused: 200 !== 503 not ok - a stopping host does not repeat what could not end in time: 3 sends, expected 2 not ok - a stopping host sends an answer whole to a slow caller: stopped before the answer was read not ok - a request whose body is incomplete is refused in time: no answer within 15 s not ok - a stopping host answers a request whose head is incomplete: a connection without a request was not closed within 15 s not ok - a connection cut at the end of the grace period is logged

--- a/packages/gateway/src/callerresponse.ts
+++ b/packages/gateway/src/callerresponse.ts
@@ -94,7 +94,11 @@
       headers.push('Retry-After', (retryAfterMs / 1000).toFixed(3));
     }
     this.writeHead(status, headers);
-    this.response.end(body);
+    this.response.write(body);
+    // Closing a connection while its caller still sends may discard the response.
+    const {req: request} = this.response;
+    if (request.complete) this.response.end();
+    else request.once('end', () => this.response.end());
   }
 
   private writeHead(status: number, headers: string[], message?: string): void {
--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -16,6 +16,7 @@
 import * as crashprobes from './crashprobe.js';
 import * as requests from './request.js';
 import type * as rollouts from './rollouts.js';
+import * as shutdowns from './shutdown.js';
 import * as suspectrejections from './suspectrejections.js';
 
 /** The maximum number of attempts of a request whatever its route allows, including attempts refused by backend servers. */
@@ -50,6 +51,7 @@
   readonly statements: statementsModule.Statements;
   readonly fleetLimits: fleetlimits.FleetLimits;
   readonly rollouts: rollouts.Rollouts;
+  readonly shutdown: shutdowns.Shutdown;
   readonly log: logs.Log;
   readonly metrics: metrics.Metrics;
 }
@@ -89,6 +91,8 @@
   lastEventId: string | undefined;
   /** True when part of a stream's body has been relayed to the caller. */
   hasRelayedBytes: boolean;
+  /** True until the next attempt is sent. */
+  isWaiting: boolean;
 }
 
 /** Whether a request is retried after an attempt (`again`) or has ended. */
@@ -133,7 +137,12 @@
         this.options.dialect.names.lastEventId,
       ),
       hasRelayedBytes: false,
+      isWaiting: true,
     };
+    const {shutdown} = this.options;
+    const release = shutdown.abortWhen(deadline, () =>
+      progress.isWaiting ? !shutdown.hasTimeFor(accepted) : shutdown.mustCut,
+    );
     try {
       for (;;) {
         const decision = await this.runAttempt(
@@ -148,6 +157,7 @@
       }
     } finally {
       clearTimeout(timer);
+      release();
     }
   }
 
@@ -177,6 +187,10 @@
     const isCandidate = rollouts.usesCandidate(accepted.service);
     const pool = directory.pool(accepted.service, isCandidate);
     if (!pool) return this.giveUp(progress, 'no-backend-server');
+    progress.isWaiting = true;
+    if (!this.options.shutdown.hasTimeFor(accepted)) {
+      return this.giveUpForStop(progress);
+    }
     const isCounted = progress.attempts === 0 || progress.isRetryCounted;
     progress.isRetryCounted = false;
     if (!isCounted && !this.tryCountRetry(accepted, progress)) {
@@ -191,7 +205,7 @@
       const {type, retryAfterMs} = error.failure;
       const waitedMs = this.nowMs - accepted.received.arrivedMs;
       const detail = `tier ${accepted.tier}, ${pool.backendServers.length} servers, waited ${Math.round(waitedMs)} ms${this.describeLimits(pool)}`;
-      if (signal.aborted) return this.deadlineExceeded(progress, detail);
+      if (signal.aborted) return this.endAborted(progress, signal, detail);
       return this.giveUp(progress, type, retryAfterMs, detail);
     }
     const rejection = await charged;
@@ -204,6 +218,10 @@
       slots.done(grant.ticketId, {kind: 'cancelled'});
       return withdrawn;
     }
+    if (!this.options.shutdown.hasTimeFor(accepted)) {
+      slots.done(grant.ticketId, {kind: 'cancelled'});
+      return this.giveUpForStop(progress);
+    }
     metrics.slotWaitS.observe(
       {service: accepted.service},
       (this.nowMs - accepted.received.arrivedMs) / 1000,
@@ -220,6 +238,7 @@
       sentMs: this.nowMs,
     };
     progress.triedServers.push(entry.id);
+    progress.isWaiting = false;
     if (attempt.number === 1)
       this.options.fleetLimits.countFirstAttempt(accepted.service);
     else metrics.retries.inc({service: accepted.service});
@@ -331,7 +350,10 @@
     const timeoutMs = this.responseTimeoutMs(accepted, progress);
     // Infinity is replaced by the longest delay that setTimeout accepts.
     const timer = setTimeout(
-      () => timeout.abort(new Error('silent')),
+      () => {
+        if (!this.options.shutdown.hasTimeFor(accepted)) return;
+        timeout.abort(new Error('silent'));
+      },
       Math.min(timeoutMs, 2 ** 31 - 1),
     );
     const sendSignal = AbortSignal.any([signal, timeout.signal]);
@@ -364,7 +386,7 @@
           signal,
         );
       }
-      return await this.relay(
+      const decision = await this.relay(
         accepted,
         caller,
         progress,
@@ -373,6 +395,11 @@
         signal,
         timer,
       );
+      if (decision.kind === 'ended' && decision.ended.kind === 'answered') {
+        const durationMs = this.nowMs - attempt.sentMs;
+        this.options.shutdown.recordDuration(route.name, durationMs);
+      }
+      return decision;
     } finally {
       clearTimeout(timer);
       tracked.end();
@@ -622,7 +649,7 @@
         isSilent && !progress.hasRelayedBytes ? 'silent' : 'cancelled';
       slots.done(grant.ticketId, {kind});
       this.addUnansweredTime(accepted, progress, attempt);
-      return this.deadlineExceeded(progress);
+      return this.endAborted(progress, signal);
     }
     this.addSample(accepted, attempt, failure.verdict !== 'not-run', 0, 0);
     const isBroken =
@@ -653,6 +680,7 @@
     const {route} = accepted;
     if (progress.attempts >= MAX_ATTEMPTS) return false;
     if (accepted.deadlineMs - this.nowMs < MIN_RETRY_TIME_MS) return false;
+    if (!this.options.shutdown.hasTimeFor(accepted)) return false;
     if (this.standingOf(accepted).status === 'refused') return false;
     if (!progress.mayHaveRun) return true;
     if (progress.attempts >= route.maxAttempts) return false;
@@ -677,6 +705,23 @@
     );
   }
 
+  /** Ends a request that a stopping host has too little time for. */
+  private giveUpForStop(progress: Progress, detail?: string): RetryDecision {
+    const {REASON, RETRY_AFTER_MS} = shutdowns;
+    return this.giveUp(progress, REASON, RETRY_AFTER_MS, detail);
+  }
+
+  /** Ends a request whose signal was aborted: at its deadline, or cut by a stopping host. */
+  private endAborted(
+    progress: Progress,
+    signal: AbortSignal,
+    detail?: string,
+  ): RetryDecision {
+    return signal.reason === shutdowns.CUT_REASON
+      ? this.giveUpForStop(progress, detail)
+      : this.deadlineExceeded(progress, detail);
+  }
+
   /** Ends a request at its deadline: breaks off its stream, or rejects it with 504 if it may have run and 503 otherwise. */
   private deadlineExceeded(
     progress: Progress,
--- a/packages/gateway/src/host.ts
+++ b/packages/gateway/src/host.ts
@@ -4,7 +4,6 @@
  */
 import * as crypto from 'node:crypto';
 import * as http from 'node:http';
-import * as timers from 'node:timers/promises';
 
 import * as decisions from '@banyanhall/decisions';
 import * as crashesModule from '@banyanhall/fleet/crashes.js';
@@ -24,6 +23,7 @@
 import * as addresses from './addresses.js';
 import * as allowancesModule from './allowances.js';
 import * as fleetlimits from './fleetlimits.js';
+import * as callerconnections from './callerconnections.js';
 import * as callerresponses from './callerresponse.js';
 import * as dispatchers from './dispatcher.js';
 import * as directories from './directory.js';
@@ -33,15 +33,13 @@
 import * as metricsModule from './metrics.js';
 import * as requests from './request.js';
 import * as rollouts from './rollouts.js';
+import * as shutdowns from './shutdown.js';
 import * as suspectrejections from './suspectrejections.js';
 
 /** How long callers may cache an address response, in milliseconds. */
 const ADDRESS_TTL_MS = 1000;
-/** The time from the stop signal to closing the caller listener. Longer than `ADDRESS_TTL_MS`, since callers may go on using a cached address response for that long. */
-const LISTENER_CLOSE_DELAY_MS = 4500;
-/** The time left unused at the end of the grace period. */
-const STOP_MARGIN_MS = 700;
-const DRAIN_POLL_MS = 50;
+/** Some callers use an address response for this multiple of its TTL. */
+const ADDRESS_TTL_FACTOR = 3;
 const MAX_HEADER_BYTES = 65_536;
 /** The keep-alive timeout until a configuration is known. */
 const DEFAULT_KEEP_ALIVE_MS = 15_000;
@@ -129,13 +127,13 @@
   private readonly dispatcher: dispatchers.Dispatcher;
   private readonly upstream: forwarding.upstream.Upstream;
   private readonly ingress: http.Server;
+  private readonly callers: callerconnections.CallerConnections;
+  private readonly shutdown: shutdowns.Shutdown;
   private readonly lag = new looplag.EventLoopLag(() =>
     this.clock.monotonicMs(),
   );
   private readonly servers: http.Server[] = [];
   private configurationText = '';
-  private inFlight = 0;
-  private isStopping = false;
   private isReadyLogged = false;
 
   constructor(private readonly options: HostOptions) {
@@ -256,11 +254,15 @@
       publishState: options.publishRolloutState,
     });
     this.upstream = new forwarding.upstream.Upstream(dialect.names);
-    const {slots, crashes, upstream} = this;
+    this.shutdown = new shutdowns.Shutdown({
+      ...{clock, gracePeriodMs: settings.gracePeriodMs},
+      noticeMs: ADDRESS_TTL_MS * ADDRESS_TTL_FACTOR,
+    });
+    const {slots, crashes, upstream, shutdown} = this;
     this.dispatcher = new dispatchers.Dispatcher({
       ...{clock, dialect, directory, upstream, slots, crashes, log, metrics},
       ...{fleetLimits: this.fleetLimits, rollouts: this.rollouts},
-      statements: this.statements,
+      ...{statements: this.statements, shutdown},
     });
     router.connect(this.handlers());
     this.ingress = http.createServer(
@@ -268,11 +270,14 @@
       (request, response) => void this.onRequest(request, response),
     );
     this.ingress.keepAliveTimeout = DEFAULT_KEEP_ALIVE_MS;
+    this.callers = new callerconnections.CallerConnections(this.ingress);
   }
 
   /** True when this host has a configuration and is not stopping. */
   get isReady(): boolean {
-    return !this.isStopping && this.directory.configuration !== undefined;
+    return (
+      !this.shutdown.hasBegun && this.directory.configuration !== undefined
+    );
   }
 
   /** Starts the listeners and parts; resolves once callers and other hosts can connect and the member list has started. */
@@ -331,23 +336,26 @@
 
   /**
    * Drains and stops the host: it reports not ready and is left out of address
-   * responses, serves while callers may use cached addresses, then waits for
-   * requests in flight until the grace period ends.
+   * responses, serves what can end in time while callers may use cached
+   * addresses, then waits for requests in flight until the grace period ends.
    */
   async stop(): Promise<void> {
-    if (this.isStopping) return;
-    this.isStopping = true;
-    const startMs = this.clock.monotonicMs();
-    this.options.log.event('stop', '', {inFlight: this.inFlight});
+    if (this.shutdown.hasBegun) return;
+    const {shutdown, callers} = this;
+    const {log} = this.options;
+    // With event loop lag the signal is handled later than it arrived.
+    shutdown.begin(this.clock.monotonicMs() - this.lag.lagMs);
+    log.event('stop', '', {inFlight: callers.requests.length});
     void this.members.leave();
-    await timers.setTimeout(LISTENER_CLOSE_DELAY_MS);
-    this.ingress.close();
-    this.ingress.closeIdleConnections();
-    const endMs =
-      startMs + this.options.settings.gracePeriodMs - STOP_MARGIN_MS;
-    while (this.inFlight > 0 && this.clock.monotonicMs() < endMs) {
-      await timers.setTimeout(DRAIN_POLL_MS);
-    }
+    await shutdown.waitUntil(() => shutdown.mustCloseListener);
+    callers.stopListening();
+    await shutdown.waitUntil(() => {
+      callers.closeIdle();
+      return callers.isEmpty || shutdown.mustExit;
+    });
+    this.logCut(callers.requests);
+    log.event('stopped', '', {inFlight: callers.requests.length});
+    callers.closeAll();
     for (const server of this.servers) server.close();
     for (const part of this.parts) {
       part.stop();
@@ -355,11 +363,20 @@
     this.rollouts.stop();
     this.lag.stop();
     this.members.stop();
-    this.options.log.event('stopped', '', {inFlight: this.inFlight});
     this.links.close();
     this.upstream.close();
   }
 
+  /** Logs the requests whose connections this host closes at the end of its grace period. */
+  private logCut(unanswered: readonly callerconnections.OpenRequest[]): void {
+    const {log, metrics} = this.options;
+    for (const {id, stage, arrivedMs} of unanswered) {
+      const ageMs = Math.round(this.clock.monotonicMs() - arrivedMs);
+      log.event('cut', id, {by: 'stop', stage, ageMs});
+      metrics.cutRequests.inc({by: 'stop', stage});
+    }
+  }
+
   /** The parts with timers of their own. */
   private get parts(): readonly Part[] {
     const {keeper, slots, crashes, statements, fleetLimits, feedRelay} = this;
@@ -428,19 +445,23 @@
       response,
       names.requestId,
       id,
-      () => this.isStopping,
+      () => this.shutdown.hasBegun,
     );
-    this.inFlight++;
+    const tracked = this.callers.track(request, response, id, arrivedMs);
     let route = '';
     let result: dispatchers.DispatchResult;
     try {
-      const body = await listeners.readBody(request);
-      if (!body || caller.isDisconnected) {
+      const body = await this.readBody(request);
+      if (caller.isDisconnected || body === undefined) {
         log.event('caller-left', id, {stage: 'reading'});
         return;
       }
-      const received = toReceivedRequest(request, id, body, arrivedMs, names);
-      const checked = this.rejectionForLag() ?? this.check(received);
+      tracked.stage = 'dispatching';
+      const checked =
+        body === 'cut'
+          ? shutdowns.rejection('body not complete')
+          : (this.rejectionForLag() ??
+            this.check(toReceivedRequest(request, id, body, arrivedMs, names)));
       if (checked.kind === 'accepted') {
         route = checked.route.name;
         result = await this.chargeAndDispatch(checked, caller);
@@ -456,9 +477,8 @@
         reason: 'internal',
         retryAfterMs: undefined,
       };
-    } finally {
-      this.inFlight--;
     }
+    tracked.stage = 'answering';
     if (result.kind === 'rejection') {
       if (caller.isStarted) caller.abort();
       else caller.sendRejection(result);
@@ -477,6 +497,18 @@
     });
   }
 
+  /** Reads the body of a request; undefined when the caller disconnected first, 'cut' at the end of the grace period. */
+  private async readBody(
+    request: http.IncomingMessage,
+  ): Promise<Buffer | undefined | 'cut'> {
+    const {shutdown} = this;
+    const cut = new AbortController();
+    const release = shutdown.abortWhen(cut, () => shutdown.mustCut);
+    const body = await listeners.readBody(request, cut.signal);
+    release();
+    return cut.signal.aborted ? 'cut' : body;
+  }
+
   /**
    * Charges a request to its account and dispatches it. The charge and the slot
    * are requested together if the charge is likely to be granted.
@@ -524,7 +556,11 @@
     if (accepted.kind === 'rejection') return accepted;
     const {fingerprint, sharedParts: parts} = accepted;
     const standing = this.crashes.standingOf({fingerprint, parts});
-    return suspectrejections.rejectionOf(standing) ?? accepted;
+    const suspect = suspectrejections.rejectionOf(standing);
+    if (suspect) return suspect;
+    return this.shutdown.hasTimeFor(accepted)
+      ? accepted
+      : shutdowns.rejection('too little time left');
   }
 
   /** The requests a second that a backend server states to take. */
@@ -582,7 +618,7 @@
     const query = formats.parseAddressQuery(target);
     if (!query) return listeners.respond(response, 404, '');
     const serving = this.members.serving.filter(
-      member => member.host !== settings.host || !this.isStopping,
+      member => member.host !== settings.host || !this.shutdown.hasBegun,
     );
     const caller = response.socket?.remoteAddress ?? '';
     const selected = addresses.selectHosts(serving, {...query, caller});
@@ -593,7 +629,8 @@
 
   private async metricsText(): Promise<string> {
     const {metrics} = this.options;
-    metrics.setGauge('in_flight', 'Requests in flight.', this.inFlight);
+    const inFlight = this.callers.requests.length;
+    metrics.setGauge('in_flight', 'Requests in flight.', inFlight);
     const version = this.directory.configuration?.version ?? 0;
     metrics.setGauge('configuration_version', 'Version in force.', version);
     const hosts = this.members.serving.length;
--- a/packages/gateway/src/listeners.ts
+++ b/packages/gateway/src/listeners.ts
@@ -41,9 +41,10 @@
   response.end(body);
 }
 
-/** Reads the whole body of a request; undefined when the caller disconnected first. */
+/** Reads the whole body of a request; undefined when the caller disconnected or `signal` was aborted first. */
 export function readBody(
   request: http.IncomingMessage,
+  signal: AbortSignal,
 ): Promise<Buffer | undefined> {
   return new Promise(resolve => {
     const chunks: Buffer[] = [];
@@ -51,5 +52,6 @@
     request.on('end', () => resolve(Buffer.concat(chunks)));
     request.on('error', () => resolve(undefined));
     request.on('close', () => resolve(undefined));
+    signal.addEventListener('abort', () => resolve(undefined), {once: true});
   });
 }
--- a/packages/gateway/src/logs.ts
+++ b/packages/gateway/src/logs.ts
@@ -23,6 +23,7 @@
   | 'resumed'
   | 'answered'
   | 'broken'
+  | 'cut'
   | 'failed'
   | 'caller-left'
   | 'suspect'
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -25,6 +25,11 @@
     'Calls to the store by call and result.',
     ['call', 'result'],
   );
+  readonly cutRequests = this.counter(
+    'banyanhall_cut_requests_total',
+    'Requests whose connection this host closed before the answer was out, by cause and stage.',
+    ['by', 'stage'],
+  );
   readonly slotWaitS = this.histogram(
     'banyanhall_slot_wait_seconds',
     'Time from arrival to a slot on a backend server.',
