Wait for the stop in progress when a second signal arrives

What callers saw: a second SIGTERM (or SIGINT after it) ended the process at once, with requests in flight cut.

Cause: Host.stop() resolved at once when a stop was already in progress, and the process exits when it resolves.

Evidence, new test on the code before: not ok - stopping a host again waits for the first stop: the request in flight was not answered when the second stop() had resolved

Change: stop() returns the promise of the stop in progress. The test passes.

--- a/packages/gateway/src/host.ts
+++ b/packages/gateway/src/host.ts
@@ -134,6 +134,7 @@
   );
   private readonly servers: http.Server[] = [];
   private configurationText = '';
+  private stopped: Promise<void> | undefined;
   private isReadyLogged = false;
 
   constructor(private readonly options: HostOptions) {
@@ -339,8 +340,12 @@
    * responses, serves what can end in time while callers may use cached
    * addresses, then waits for requests in flight until the grace period ends.
    */
-  async stop(): Promise<void> {
-    if (this.shutdown.hasBegun) return;
+  stop(): Promise<void> {
+    this.stopped ??= this.drainAndClose();
+    return this.stopped;
+  }
+
+  private async drainAndClose(): Promise<void> {
     const {shutdown, callers} = this;
     const {log} = this.options;
     // With event loop lag the signal is handled later than it arrived.
