--- a/packages/forwarding/src/upstream.test.ts
+++ b/packages/forwarding/src/upstream.test.ts
@@ -310,3 +310,28 @@
     );
   }
 });
+
+// Guards against an attempt that throws, for which the caller is told 502 though nothing ran.
+for (const [name, change] of Object.entries({
+  'port 99999': {address: '127.0.0.1:99999'},
+  'no port': {address: '127.0.0.1'},
+  'a header of several lines': {headers: ['X-Server', 'a\nb']},
+  'a header beyond Latin-1': {headers: ['X-Server', '\u2603']},
+  'a path with a space': {path: '/a b'},
+})) {
+  test.test(`a request with ${name} has not run`, async () => {
+    const upstream = new upstreams.Upstream(NAMES);
+    const result = await upstream.send(
+      {
+        ...{address: '127.0.0.1:1', method: 'GET', path: '/'},
+        ...{headers: [], body: Buffer.alloc(0), requestId: 'a'},
+        isRepeat: false,
+        ...change,
+      },
+      new AbortController().signal,
+    );
+    upstream.close();
+    assert.equal(result.kind, 'failed');
+    assert.equal((result as upstreams.AttemptFailure).verdict, 'not-run');
+  });
+}
--- a/packages/forwarding/src/upstream.ts
+++ b/packages/forwarding/src/upstream.ts
@@ -45,6 +45,7 @@
 
 /** Why an attempt yielded no usable response. */
 export type FailureCause =
+  | 'invalid-request'
   | 'connect-failed'
   | 'reset'
   | 'cancelled'
@@ -90,8 +91,8 @@
 /**
  * Pool of HTTP connections to backend servers. `send` writes a request once, on
  * one connection. A failed attempt has the verdict `not-run` only if it was
- * cancelled before it was sent, if the connection was never established, or if
- * the backend server's own response says so.
+ * cancelled before it was sent, if it can't be sent, if the connection was never
+ * established, or if the backend server's own response says so.
  */
 export class Upstream {
   private readonly kept = new connections.Connections({
@@ -122,16 +123,15 @@
         );
         return;
       }
-      const [host, port] = outbound.address.split(':');
-      const request = http.request({
-        agent: outbound.isRepeat ? this.singleUse : this.kept,
-        host,
-        port: Number(port),
-        method: outbound.method,
-        path: outbound.path,
-        headers: outbound.headers as string[],
-        setHost: false,
-      });
+      let request: http.ClientRequest;
+      try {
+        request = this.open(outbound);
+      } catch (error) {
+        // Node.js throws for an address or a header that can't be sent.
+        const detail = error instanceof Error ? error.message : String(error);
+        resolve(this.failure('invalid-request', 'not-run', detail));
+        return;
+      }
       let isConnected = false;
       let isTimedOut = false;
       let isReset = false;
@@ -200,6 +200,19 @@
     });
   }
 
+  private open(outbound: OutboundRequest): http.ClientRequest {
+    const [host, port] = outbound.address.split(':');
+    return http.request({
+      agent: outbound.isRepeat ? this.singleUse : this.kept,
+      host,
+      port: Number(port),
+      method: outbound.method,
+      path: outbound.path,
+      headers: outbound.headers as string[],
+      setHost: false,
+    });
+  }
+
   /** Closes the connection pool. */
   close(): void {
     this.kept.destroy();
--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -816,6 +816,7 @@
     (hasCrashed: boolean) => decisions.runner.Outcome
   >
 > = {
+  'invalid-request': () => ({kind: 'cancelled'}),
   'connect-failed': () => ({kind: 'unreachable'}),
   reset: hasCrashed => ({kind: hasCrashed ? 'crashed' : 'failed'}),
   'broken-answer': hasCrashed => ({kind: hasCrashed ? 'crashed' : 'failed'}),
