Skip rows that are no leases when hosts look for each other

What would be seen: a host that starts while the table of hosts holds a row of another writer (no value, no member, a state or an address that is none) does not start its probes, gossip and renewals, as reading the rows throws; a running one learns of no new host. A member with an address that can't be connected to joins the list of hosts.

Cause: Members took each row's value for a lease. The class is that of odd server entries: what others write reaches code that throws.

Change: leases.decode checks a row; rows that are no lease are skipped and logged, once for each content of a key.

--- a/packages/fleet/src/members.test.ts
+++ b/packages/fleet/src/members.test.ts
@@ -140,3 +140,72 @@
   assert.equal(fleet.members.get('h0')?.serving.length, 61);
   assert.equal(fleet.changes, 1);
 });
+
+const LEASE = {
+  member: {
+    ...{host: 'h2', region: 'r', zone: 'z', callerUrl: '10.0.0.2:80'},
+    ...{peerAddress: '10.0.0.2:90', incarnation: 1, state: 'serving'},
+  },
+  expiresAtMs: 1e12,
+};
+
+/** Starts the members of a host whose table holds a row with this value beside a lease. */
+async function startBeside(value: unknown) {
+  const nowMs = () => 0;
+  const bad: string[] = [];
+  const rows = [
+    {key: 'host/a', value, version: 1},
+    {key: 'host/h2', value: LEASE, version: 2},
+  ];
+  const members = new membersModule.Members({
+    table: {
+      scan: () => Promise.resolve(rows),
+      commit: () => Promise.resolve({kind: 'committed', version: 1}),
+      read: () => Promise.resolve(new Map()),
+    },
+    clock: {nowMs, monotonicMs: nowMs},
+    timeline: new timelines.Timeline('h1'),
+    router: {send: () => true} as unknown as routers.Router,
+    random: () => 0,
+    self: {...LEASE.member, host: 'h1', state: 'serving'},
+    configState: () => ({configNumber: 0, configAgeMs: 0}),
+    onChange: () => undefined,
+    onConfigState: () => undefined,
+    onBadLease: ({key}) => bad.push(key),
+    ...{onDead: () => undefined, onSilent: () => undefined},
+  });
+  await members.start();
+  return {members, bad};
+}
+
+// Guards against an odd row for which a host starts without the others, or breaks its messages to them.
+for (const [name, value] of Object.entries({
+  'no value': undefined,
+  null: null,
+  'a number': 7,
+  'a list': [],
+  'no member': {expiresAtMs: 1e12},
+  'no host': {...LEASE, member: {...LEASE.member, host: undefined}},
+  'an address that is none': {
+    ...LEASE,
+    member: {...LEASE.member, peerAddress: 'nowhere'},
+  },
+  'port 99999': {
+    ...LEASE,
+    member: {...LEASE.member, peerAddress: '10.0.0.9:99999'},
+  },
+  'a huge incarnation': {
+    ...LEASE,
+    member: {...LEASE.member, incarnation: 1e300},
+  },
+  'another state': {...LEASE, member: {...LEASE.member, state: 'lost'}},
+  'no end': {member: LEASE.member, expiresAtMs: 'never'},
+})) {
+  test.test(`hosts are found beside a row with ${name}`, async t => {
+    t.mock.timers.enable({apis: ['setInterval']});
+    const {members, bad} = await startBeside(value);
+    const hosts = members.view.members.map(({host}) => host);
+    assert.deepEqual(hosts, ['h1', 'h2']);
+    assert.deepEqual(bad, ['host/a']);
+  });
+}
--- a/packages/fleet/src/members.ts
+++ b/packages/fleet/src/members.ts
@@ -2,6 +2,7 @@
 import type * as peers from '@banyanhall/peers';
 import type * as platform from '@banyanhall/platform';
 
+import * as leases from './leases.js';
 import type * as routers from './router.js';
 import type * as timelines from './timeline.js';
 
@@ -35,12 +36,6 @@
 
 type Member = decisions.membership.Member;
 
-/** The lease of a host, as stored in the table. */
-interface Lease {
-  readonly member: Member;
-  readonly expiresAtMs: number;
-}
-
 /** The sender's configuration number and its age, as carried by probes and acks. */
 export interface ConfigState {
   readonly configNumber: number;
@@ -63,6 +58,8 @@
   readonly onDead: (host: string) => void;
   /** Called when a host serves that is new, was restarted or was dead. */
   readonly onJoin?: (host: string) => void;
+  /** Called for each row that is no lease, at each scan. */
+  readonly onBadLease?: (row: platform.table.Row) => void;
   /** Called when a host misses a probe and has sent no message for `SILENT_MS`. */
   readonly onSilent: (host: string) => void;
 }
@@ -404,7 +401,7 @@
     const {self} = this.membership;
     if (self.state === 'leaving') return false;
     const expiresAtMs = this.options.clock.nowMs() + LEASE_TTL_MS;
-    const value: Lease = {member: self, expiresAtMs};
+    const value: leases.Lease = {member: self, expiresAtMs};
     const result = await this.options.table.commit({
       conditions: [],
       writes: [{key: LEASE_PREFIX + self.host, value}],
@@ -422,7 +419,11 @@
     const before = this.membership;
     const news: Member[] = [];
     for (const row of rows) {
-      const lease = row.value as Lease;
+      const lease = leases.decode(row.value);
+      if (!lease) {
+        this.options.onBadLease?.(row);
+        continue;
+      }
       if (lease.expiresAtMs < this.options.clock.nowMs()) continue;
       if (this.membership.get(lease.member.host)?.state === 'dead') continue;
       const update = this.membership.merge(lease.member, this.nowMs);
--- a/packages/gateway/src/host.ts
+++ b/packages/gateway/src/host.ts
@@ -22,6 +22,7 @@
 
 import * as addresses from './addresses.js';
 import * as allowancesModule from './allowances.js';
+import * as badinputs from './badinputs.js';
 import * as fleetlimits from './fleetlimits.js';
 import * as callerconnections from './callerconnections.js';
 import * as callerresponses from './callerresponse.js';
@@ -133,6 +134,7 @@
     this.clock.monotonicMs(),
   );
   private readonly servers: http.Server[] = [];
+  private readonly badInputs: badinputs.BadInputs;
   private configurationText = '';
   private stopped: Promise<void> | undefined;
   private isReadyLogged = false;
@@ -141,6 +143,7 @@
     const {settings, log, dialect, metrics} = options;
     const {host, region, zone} = settings;
     const {clock} = this;
+    this.badInputs = new badinputs.BadInputs(log);
     this.random = decisions.random.seeded(
       decisions.rendezvous.hash32(`${host}${clock.nowMs()}`),
     );
@@ -196,6 +199,8 @@
         this.slots.onMembers();
         this.feedRelay.onMembers();
       },
+      onBadLease: ({key, version}) =>
+        this.badInputs.report('lease of a host', key, String(version)),
       onDead: gone => {
         this.keeper.onHostGone(gone);
         this.links.drop(gone);
