Go on reading a link after a message that can't be handled

What would be seen: after one message of another build without its ticket, every later message over that link goes unread, configurations among them, while the link counts as open.

Cause: an exception of a handler reached the link's reader, which then reads no further.

Change: Host catches it, and logs the message as bad input, once for each content.

Evidence on the code before: `requests are served beside odd messages of a host` fails; a configuration sent after 17 odd messages was not in force after 5 s, and `TypeError: Cannot read properties of null (reading 'tier')` was left as an unhandled rejection. Now it passes.

--- a/packages/gateway/src/host.ts
+++ b/packages/gateway/src/host.ts
@@ -157,7 +157,7 @@
       secret: LINK_SECRET,
       onMessage: (from, item) => {
         this.members.onMessageFrom(from);
-        this.router.handle(from, item);
+        this.handleMessage(from, item);
       },
       onLinkDown: peer => {
         this.members.onLinkDown(peer);
@@ -393,6 +393,18 @@
     return [keeper, slots, crashes, statements, fleetLimits, feedRelay];
   }
 
+  /** Handles a message of another host. An exception would end the link's reading, so that later messages are lost. */
+  private handleMessage(from: string, message: peers.messages.Message): void {
+    try {
+      this.router.handle(from, message);
+    } catch (error) {
+      const detail = error instanceof Error ? error.message : String(error);
+      const content = `${message.kind}: ${detail}`;
+      const fields = {detail: content};
+      this.badInputs.report('message of a host', from, content, fields);
+    }
+  }
+
   private handlers(): routers.MessageHandlers {
     const {keeper, slots, members, crashes, statements} = this;
     const {rollouts: rolloutManager} = this;
