Log a bad input once for each content of its key

What operators saw: a lasting bad row wrote a line at each reading of its table, and a configuration that could not be read one for each host that sent it, each time.

--- a/packages/gateway/src/host.ts
+++ b/packages/gateway/src/host.ts
@@ -328,7 +328,7 @@
     const {formats, log} = this.options;
     const next = formats.decodeConfiguration(text);
     if (!next) {
-      log.event('bad-input', '', {what: 'configuration', from});
+      this.badInputs.report('configuration', from, text);
       return;
     }
     if (!this.directory.onConfiguration(next, from)) return;
