--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -16,6 +16,7 @@
 import * as crashprobes from './crashprobe.js';
 import * as requests from './request.js';
 import type * as rollouts from './rollouts.js';
+import * as shutdowns from './shutdown.js';
 import * as silences from './silence.js';
 import * as suspectrejections from './suspectrejections.js';
 
@@ -51,6 +52,7 @@
   readonly statements: statementsModule.Statements;
   readonly fleetLimits: fleetlimits.FleetLimits;
   readonly rollouts: rollouts.Rollouts;
+  readonly shutdown: shutdowns.Shutdown;
   readonly log: logs.Log;
   readonly metrics: metrics.Metrics;
 }
@@ -97,6 +99,8 @@
   lastEventId: string | undefined;
   /** When part of a stream's body was last relayed to the caller; undefined before. */
   relayedMs: number | undefined;
+  /** True until the next attempt is sent. */
+  isWaiting: boolean;
 }
 
 /** Whether a request is retried after an attempt (`again`) or has ended. */
@@ -142,7 +146,12 @@
         this.options.dialect.names.lastEventId,
       ),
       relayedMs: undefined,
+      isWaiting: true,
     };
+    const {shutdown} = this.options;
+    const release = shutdown.abortWhen(deadline, () =>
+      progress.isWaiting ? !shutdown.hasTimeFor(accepted) : shutdown.mustCut,
+    );
     try {
       for (;;) {
         const decision = await this.runAttempt(
@@ -157,6 +166,7 @@
       }
     } finally {
       clearTimeout(timer);
+      release();
       if (progress.repeat) this.release(progress.repeat);
     }
   }
@@ -192,6 +202,10 @@
     const isCandidate = rollouts.usesCandidate(accepted.service);
     const pool = directory.pool(accepted.service, isCandidate);
     if (!pool) return this.giveUp(progress, 'no-backend-server');
+    progress.isWaiting = true;
+    if (!this.options.shutdown.hasTimeFor(accepted)) {
+      return this.giveUpForStop(progress);
+    }
     const isCounted = progress.attempts === 0 || progress.isRetryCounted;
     progress.isRetryCounted = false;
     if (!isCounted && !this.tryCountRetry(accepted, progress)) {
@@ -206,7 +220,7 @@
       const {type, retryAfterMs} = error.failure;
       const waitedMs = this.nowMs - accepted.received.arrivedMs;
       const detail = `tier ${accepted.tier}, ${pool.backendServers.length} servers, waited ${Math.round(waitedMs)} ms${this.describeLimits(pool)}`;
-      if (signal.aborted) return this.deadlineExceeded(progress, detail);
+      if (signal.aborted) return this.endAborted(progress, signal, detail);
       return this.giveUp(progress, type, retryAfterMs, detail);
     }
     const rejection = await charged;
@@ -219,6 +233,10 @@
       slots.done(grant.ticketId, {kind: 'cancelled'});
       return withdrawn;
     }
+    if (!this.options.shutdown.hasTimeFor(accepted)) {
+      slots.done(grant.ticketId, {kind: 'cancelled'});
+      return this.giveUpForStop(progress);
+    }
     metrics.slotWaitS.observe(
       {service: accepted.service},
       (this.nowMs - accepted.received.arrivedMs) / 1000,
@@ -248,6 +266,7 @@
       sentMs: this.nowMs,
     };
     progress.triedServers.push(entry.id);
+    progress.isWaiting = false;
     if (attempt.number === 1)
       this.options.fleetLimits.countFirstAttempt(accepted.service);
     else this.options.metrics.retries.inc({service: accepted.service});
@@ -387,7 +406,7 @@
           signal,
         );
       }
-      return await this.relay(
+      const decision = await this.relay(
         accepted,
         caller,
         progress,
@@ -395,6 +414,11 @@
         result,
         signal,
       );
+      if (decision.kind === 'ended' && decision.ended.kind === 'answered') {
+        const durationMs = this.nowMs - attempt.sentMs;
+        this.options.shutdown.recordDuration(route.name, durationMs);
+      }
+      return decision;
     } finally {
       silence.stop();
       progress.repeat = silence.repeat;
@@ -708,7 +732,7 @@
         isSilent && progress.relayedMs === undefined ? 'silent' : 'cancelled';
       slots.done(grant.ticketId, {kind});
       this.addUnansweredTime(accepted, progress, attempt);
-      return this.deadlineExceeded(progress);
+      return this.endAborted(progress, signal);
     }
     this.addSample(accepted, attempt, failure.verdict !== 'not-run', 0, 0);
     const isBroken =
@@ -739,6 +763,7 @@
     const {route} = accepted;
     if (progress.attempts >= MAX_ATTEMPTS) return false;
     if (accepted.deadlineMs - this.nowMs < MIN_RETRY_TIME_MS) return false;
+    if (!this.options.shutdown.hasTimeFor(accepted)) return false;
     if (this.standingOf(accepted).status === 'refused') return false;
     if (!progress.mayHaveRun) return true;
     if (progress.attempts >= route.maxAttempts) return false;
@@ -764,6 +789,23 @@
     );
   }
 
+  /** Ends a request that a stopping host has too little time for. */
+  private giveUpForStop(progress: Progress, detail?: string): RetryDecision {
+    const {REASON, RETRY_AFTER_MS} = shutdowns;
+    return this.giveUp(progress, REASON, RETRY_AFTER_MS, detail);
+  }
+
+  /** Ends a request whose signal was aborted: at its deadline, or cut by a stopping host. */
+  private endAborted(
+    progress: Progress,
+    signal: AbortSignal,
+    detail?: string,
+  ): RetryDecision {
+    return signal.reason === shutdowns.CUT_REASON
+      ? this.giveUpForStop(progress, detail)
+      : this.deadlineExceeded(progress, detail);
+  }
+
   /** Ends a request at its deadline: breaks off its stream, or rejects it with 504 if it may have run and 503 otherwise. */
   private deadlineExceeded(
     progress: Progress,
@@ -859,6 +901,7 @@
     (hasCrashed: boolean) => decisions.runner.Outcome
   >
 > = {
+  'invalid-request': () => ({kind: 'cancelled'}),
   'connect-failed': () => ({kind: 'unreachable'}),
   reset: hasCrashed => ({kind: hasCrashed ? 'crashed' : 'failed'}),
   'broken-answer': hasCrashed => ({kind: hasCrashed ? 'crashed' : 'failed'}),
--- a/packages/gateway/src/logs.ts
+++ b/packages/gateway/src/logs.ts
@@ -26,6 +26,7 @@
   | 'resumed'
   | 'answered'
   | 'broken'
+  | 'cut'
   | 'failed'
   | 'caller-left'
   | 'suspect'
