Answer an address query that is no URL with 400

What callers saw: a query such as `//[` on the listener for addresses got no answer; the exception was logged as an internal error.

Cause: parsing the target throws, and nothing caught it. The same class as odd server entries: what others send reaches calls that throw.

Evidence on the code before: `an address query that is no URL is rejected` fails with `TypeError: Invalid URL`. Now it passes.

--- a/packages/gateway/src/listeners.ts
+++ b/packages/gateway/src/listeners.ts
@@ -6,14 +6,18 @@
 /** The maximum number of connections that wait to be accepted. */
 const BACKLOG = 4096;
 
-/** Starts a server that passes each request's target to `handle` and ignores request bodies. */
+/** Starts a server that passes each request's target to `handle` and ignores request bodies; it responds with 400 if `handle` throws, such as for a target that is no URL. */
 export function serve(
   address: string,
   handle: (target: string, response: http.ServerResponse) => void,
 ): {readonly server: http.Server; readonly isListening: Promise<void>} {
   const server = http.createServer((request, response) => {
     request.resume();
-    handle(request.url ?? '', response);
+    try {
+      handle(request.url ?? '', response);
+    } catch {
+      respond(response, 400, '');
+    }
   });
   return {server, isListening: listen(server, address)};
 }
