Use a secured repeat only where it may still be sent

Callers could still see a stream of a sound, silent server cut: with one usable backend server left the repeat was secured at the very server whose silence was the reason, which counts the aborted run still and may refuse the new one. And between securing and sending a repeat, the request may have become suspect of crashing servers; it was sent among others all the same, or although it was refused by then.

Cause: a slot was taken for certainty; the keeper only prefers other servers, and the checks of a usual retry were not made again.

Evidence: test "a stream is not repeated at the server that is silent", on the code before: the server sees 2 requests, 1 expected. The second by reading; no run shows it.

Change: one function tells whether a repeat may be sent where its slot is, when it is secured and again when it is sent. After a refusal the next try comes after 0.4 s instead of a whole silence, while the caller's patience leaves time for it.

--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -69,6 +69,8 @@
   readonly grant: slotsModule.Grant;
   readonly entry: directories.ServerEntry;
   readonly isCandidate: boolean;
+  /** True when the slot was asked for a suspect request. */
+  readonly isSuspect: boolean;
 }
 
 /** One dispatch of a request to a backend server. */
@@ -195,10 +197,14 @@
   ): Promise<RetryDecision> {
     const {directory, slots, rollouts, metrics} = this.options;
     const {repeat} = progress;
-    if (repeat) {
-      progress.repeat = undefined;
+    progress.repeat = undefined;
+    if (repeat && this.isUsable(repeat, accepted, progress)) {
       return this.sendTo(repeat, accepted, caller, progress, signal);
     }
+    if (repeat) {
+      this.release(repeat);
+      progress.isRetryCounted = true;
+    }
     const isCandidate = rollouts.usesCandidate(accepted.service);
     const pool = directory.pool(accepted.service, isCandidate);
     if (!pool) return this.giveUp(progress, 'no-backend-server');
@@ -246,7 +252,8 @@
       slots.done(grant.ticketId, {kind: 'not-admitted', isLeaving: true});
       return RETRY;
     }
-    const placement = {grant, entry, isCandidate};
+    const {isSuspect} = slotRequest;
+    const placement = {grant, entry, isCandidate, isSuspect};
     return this.sendTo(placement, accepted, caller, progress, signal);
   }
 
@@ -467,18 +474,35 @@
       return signal.aborted ? 'not-silent' : grant.failure.type;
     }
     const entry = directory.entry(grant.server.name);
-    const isUsable =
-      entry !== undefined &&
+    const {isSuspect} = slotRequest;
+    const repeat = entry && {grant, entry, isCandidate, isSuspect};
+    if (
+      repeat &&
       !signal.aborted &&
-      this.nowMs < this.callerGivesUpMs(accepted, progress) &&
-      (slotRequest.isSuspect || this.standingOf(accepted).status === 'clear') &&
-      this.couldRetryAfterRunning(accepted, progress) &&
-      fleetLimits.tryCountRetry(service);
-    if (isUsable) return {grant, entry, isCandidate};
+      this.isUsable(repeat, accepted, progress) &&
+      fleetLimits.tryCountRetry(service)
+    ) {
+      return repeat;
+    }
     slots.done(grant.ticketId, {kind: 'cancelled'});
     return signal.aborted ? 'not-silent' : 'not-usable';
   }
 
+  /** True if a repeat may be sent where its slot is: not to a backend server that was silent, and not among others once it is suspect. */
+  private isUsable(
+    {entry, isSuspect}: Placement,
+    accepted: requests.AcceptedRequest,
+    progress: Progress,
+  ): boolean {
+    const {status} = this.standingOf(accepted);
+    return (
+      !progress.triedServers.includes(entry.id) &&
+      (status === 'clear' || (status === 'suspect' && isSuspect)) &&
+      this.nowMs < this.callerGivesUpMs(accepted, progress) &&
+      this.couldRetryAfterRunning(accepted, progress)
+    );
+  }
+
   /** Returns the slot of an attempt that is not sent. */
   private release({grant}: Placement): void {
     this.options.slots.done(grant.ticketId, {kind: 'cancelled'});
--- a/packages/gateway/src/silence.ts
+++ b/packages/gateway/src/silence.ts
@@ -3,6 +3,9 @@
  * certain: a sound backend server may fall silent for a while and go on.
  */
 
+/** The pause between two tries to secure a repeat. */
+const RETRY_MS = 400;
+
 /** Dependencies of `SilenceWatch`; `Repeat` is what a repeat of the attempt needs. */
 export interface SilenceWatchOptions<Repeat> {
   /** How long an attempt may be silent before a repeat is secured, in milliseconds; Infinity when none is possible. */
@@ -52,13 +55,12 @@
     this.securing = undefined;
   }
 
-  private arm(): void {
-    const {silenceMs} = this.options;
-    if (silenceMs === Infinity || this.signal.aborted) return;
+  private arm(delayMs = this.options.silenceMs): void {
+    if (delayMs === Infinity || this.signal.aborted) return;
     this.timer = setTimeout(() => {
       // After a delay of the event loop, data that has arrived is read first.
       this.immediate = setImmediate(() => void this.secureRepeat());
-    }, silenceMs);
+    }, delayMs);
   }
 
   private async secureRepeat(): Promise<void> {
@@ -70,7 +72,7 @@
       return;
     }
     this.securing = undefined;
-    if (repeat === undefined) return this.arm();
+    if (repeat === undefined) return this.arm(RETRY_MS);
     this.secured = repeat;
     this.controller.abort(new Error('silent'));
   }
