Give each slot request an id of its own

A repeat that waits for a slot and the usual retry after it shared one ticket id, as did two requests of callers with the same id. If the keeper's grant for the first crossed its withdrawal, the host took it for the second, while the keeper decided about that one anew: the host then ran on a slot that the keeper gave to others. Cause: the id was made from the number of attempts, which does not change between two slot requests of one attempt. A review's scratch test showed it (a second slot request with the same id is resolved with a server on which its keeper counts nothing running); now the id bears a count of the slot requests of this process.

--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -117,6 +117,9 @@
   /** The starts of backend servers of which an unreadable statement was logged. */
   private readonly unreadableStarts = new Set<string>();
 
+  /** The number of slot requests so far. */
+  private slotRequests = 0;
+
   constructor(private readonly options: DispatcherOptions) {}
 
   /**
@@ -311,10 +314,9 @@
     progress: Progress,
   ): slotsModule.SlotRequest {
     const {received, account, demand, deadlineMs} = accepted;
-    // A repeat may wait for its slot while the attempt before holds one.
-    const suffix = progress.attempts === 0 ? '' : `#${progress.attempts}`;
     return {
-      requestId: received.id + suffix,
+      // A repeat may wait for its slot while the attempt before holds one.
+      requestId: `${received.id}#${++this.slotRequests}`,
       service: pool,
       account: {
         name: account?.name ?? '',
