Hold the entry of a server that left until the store could remove it

Callers could see requests go to a backend server that had left: the entry that a restored store lists again was used when its hold ended, also while the store was away again and could not remove it; and at once if it showed more heartbeats than the last entry that the host had read.

Cause: the hold counted time, not time in which the store answers. Heartbeats are no measure: the feed tells a row only when more than its heartbeats changes, so the host's own count may be older than the copy's.

Change: the hold starts again after an outage; heartbeats are not read any more.

--- a/packages/gateway/src/directory.ts
+++ b/packages/gateway/src/directory.ts
@@ -40,16 +40,12 @@
   readonly isDraining: boolean;
   /** When the backend server started; 0 when the entry does not state it. */
   readonly startedAtMs: number;
-  /** How often the backend server has written its entry since it started; may be stale. */
-  readonly heartbeats: number;
 }
 
 /** What is known of a start of a backend server that left. */
 interface Departure {
   /** True if it said itself that it leaves; it does not come back then. */
   readonly isFinal: boolean;
-  /** The most heartbeats seen of it. */
-  readonly heartbeats: number;
 }
 
 /** The paces assumed before any measurement; below typical values, so that measurements correct them upwards. */
@@ -199,8 +195,8 @@
     }
     if (known && startOf(known) !== startOf(entry)) this.recordDeparture(known);
     this.departures.delete(startOf(entry));
-    this.entries.set(id, entry);
     if (known && areEqual(known, entry)) return;
+    this.entries.set(id, entry);
     const {service, address, version, zone} = entry;
     const fields = {server: id, service, address, version, zone};
     this.options.log.event('server-listed', '', fields);
@@ -265,7 +261,6 @@
       // Without the time of the start, a later one has the same name.
       isFinal: entry.isDraining && entry.startedAtMs > 0,
       ...(known?.isFinal && {isFinal: true}),
-      heartbeats: Math.max(entry.heartbeats, known?.heartbeats ?? 0),
     });
     for (const oldest of this.departures.keys()) {
       if (this.departures.size <= MAX_DEPARTURES) break;
@@ -278,11 +273,9 @@
     return this.departures.get(startOf(entry))?.isFinal === true;
   }
 
-  /** True if a start left and its entry is no newer than what was known then. */
+  /** True if a start left and its entry in a restored store may be from before that. */
   private isCopyOfDeparted(entry: ServerEntry): boolean {
-    const departure = this.departures.get(startOf(entry));
-    if (!departure || entry.isDraining) return false;
-    return departure.isFinal || entry.heartbeats <= departure.heartbeats;
+    return !entry.isDraining && this.departures.has(startOf(entry));
   }
 
   /** Uses an entry only if it is still listed when it would have expired; a restore of the store may prolong that. */
@@ -291,13 +284,24 @@
     clearTimeout(this.heldTimers.get(id));
     this.heldTimers.delete(id);
     if (this.hasDeparted(entry)) return;
-    const {heartbeatMs, log} = this.options;
-    log.event('server-left', '', {
+    this.options.log.event('server-left', '', {
       server: id,
       reason: 'left before the restore',
     });
+    this.scheduleUse(id, entry);
+  }
+
+  /** Uses a held entry once the store has answered for as long as it takes the entry to expire. */
+  private scheduleUse(id: string, entry: ServerEntry): void {
+    const {heartbeatMs, clock} = this.options;
     const forMs = EXPIRY_HEARTBEATS * heartbeatMs + EXPIRY_SLACK_MS;
-    const timer = setTimeout(() => this.onServerEntry(id, entry), forMs);
+    const fromMs = clock.monotonicMs();
+    const timer = setTimeout(() => {
+      if (this.isStoreDown || this.storeRecoveredMs > fromMs) {
+        return this.scheduleUse(id, entry);
+      }
+      this.onServerEntry(id, entry);
+    }, forMs);
     this.heldTimers.set(id, timer);
   }
 
@@ -391,5 +395,5 @@
 
 function areEqual(a: ServerEntry, b: ServerEntry): boolean {
   const keys = Object.keys(a) as (keyof ServerEntry)[];
-  return keys.every(key => key === 'heartbeats' || a[key] === b[key]);
+  return keys.every(key => a[key] === b[key]);
 }
