Refuse a slot for a silent attempt's repeat without refusing others

A request that can't start in time is refused, and with it all waiting requests of lower tiers, which are then turned away for a second. A silent attempt asks for the slot of its repeat again and again while it goes on, so a few silent servers under load would have kept the lower tiers out, for requests that lose nothing by a refusal. Found by review, by reading.

Change: such a slot request is optional, and is refused alone, as those of suspect requests are. The field is new in the message; a keeper of an older build ignores it and refuses as before.

Evidence: the test "an optional request that is refused sheds nobody else" fails without the change (the waiting request of a lower tier is refused).

--- a/packages/decisions/src/cell.test.ts
+++ b/packages/decisions/src/cell.test.ts
@@ -336,20 +336,26 @@
   assert.deepEqual(grants(sound.cell.apply(done, 10)), ['odd2']);
 });
 
-test.test('a suspect request that is refused sheds nobody else', () => {
-  let cell = cellWith(server('s1', 1));
-  cell = cell.apply(ask(ticket('t1')), 0).cell;
-  cell = cell.apply(ask(ticket('t2', {tier: 3})), 0).cell;
-  const odd = {isSuspect: true, tier: 1, deadlineMs: 3000} as const;
-  const asked = cell.apply(ask(ticket('odd', odd)), 0);
-  const late = asked.cell.apply({kind: 'tick'}, 2950);
-  const refused = [...asked.effects, ...late.effects]
-    .filter(effect => effect.kind === 'refuse')
-    .map(effect => effect.ticket.id);
-  assert.deepEqual(refused, ['odd']);
-  const waiting = late.cell.waiting.map(waitingTicket => waitingTicket.id);
-  assert.deepEqual(waiting, ['t2']);
-});
+// Guards against requests that are refused for a silent attempt that goes on anyway.
+for (const [name, change] of [
+  ['a suspect request', {isSuspect: true}],
+  ['an optional request', {isOptional: true}],
+] as const) {
+  test.test(`${name} that is refused sheds nobody else`, () => {
+    let cell = cellWith(server('s1', 1));
+    cell = cell.apply(ask(ticket('t1')), 0).cell;
+    cell = cell.apply(ask(ticket('t2', {tier: 3})), 0).cell;
+    const odd = {...change, tier: 1, deadlineMs: 3000} as const;
+    const asked = cell.apply(ask(ticket('odd', odd)), 0);
+    const late = asked.cell.apply({kind: 'tick'}, 2950);
+    const refused = [...asked.effects, ...late.effects]
+      .filter(effect => effect.kind === 'refuse')
+      .map(effect => effect.ticket.id);
+    assert.deepEqual(refused, ['odd']);
+    const waiting = late.cell.waiting.map(waitingTicket => waitingTicket.id);
+    assert.deepEqual(waiting, ['t2']);
+  });
+}
 
 test.test('a new keeper grants only after hosts have reported', () => {
   const versionsByServer = new Map<string, readonly string[]>();
--- a/packages/decisions/src/cell.ts
+++ b/packages/decisions/src/cell.ts
@@ -210,10 +210,11 @@
   /**
    * Refuses a ticket as overloaded, and before it all waiting tickets of lower
    * tiers; `waitMs` is its expected wait. A suspect request waits for an idle
-   * runner, so it is refused alone: that says nothing about the load.
+   * runner, so it is refused alone: that says nothing about the load. So is one
+   * that goes on without a slot, as nothing is lost.
    */
   shed(ticket: tickets.Ticket, waitMs: number, nowMs: number): Transition {
-    if (ticket.isSuspect) {
+    if (ticket.isSuspect || ticket.isOptional) {
       const retryAfterMs = retryDelayMs(ticket, waitMs, nowMs);
       return this.refuse(ticket, 'overloaded', retryAfterMs);
     }
--- a/packages/decisions/src/ticket.ts
+++ b/packages/decisions/src/ticket.ts
@@ -28,6 +28,8 @@
   /** The version of the service to run on; empty means any. */
   readonly version: string;
   readonly isSuspect: boolean;
+  /** True if the request goes on without a slot; undefined means false. */
+  readonly isOptional?: boolean;
   /** Runners on which earlier attempts failed; other runners are preferred. */
   readonly avoid: readonly string[];
 }
--- a/packages/fleet/src/slots.ts
+++ b/packages/fleet/src/slots.ts
@@ -42,6 +42,8 @@
   readonly version: string;
   /** True for a suspect request, which runs alone on a backend server. */
   readonly isSuspect: boolean;
+  /** True if the request goes on without a slot, so that others are not refused for it; undefined means false. */
+  readonly isOptional?: boolean;
   /** Backend servers where earlier attempts failed. */
   readonly avoid?: readonly string[];
 }
@@ -482,6 +484,7 @@
       chain: slotRequest.chain,
       version: slotRequest.version,
       isSuspect: slotRequest.isSuspect,
+      isOptional: slotRequest.isOptional ?? false,
       avoid: slotRequest.avoid ?? [],
       urgency: slotRequest.urgency ?? 0,
       region: this.options.region,
--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -470,7 +470,10 @@
     const isCandidate = rollouts.usesCandidate(service);
     const pool = directory.pool(service, isCandidate);
     if (!pool) return 'no-backend-server';
-    const slotRequest = this.slotRequest(accepted, pool, progress);
+    const slotRequest = {
+      ...this.slotRequest(accepted, pool, progress),
+      isOptional: true,
+    };
     const grant = await slots.acquire(slotRequest, signal).catch(onlyFailure);
     if (grant instanceof decisions.verdict.FailureError) {
       return signal.aborted ? 'not-silent' : grant.failure.type;
--- a/packages/peers/src/messages.test.ts
+++ b/packages/peers/src/messages.test.ts
@@ -14,6 +14,7 @@
   chain: [],
   version: '',
   isSuspect: false,
+  isOptional: true,
   region: '',
   firstWithinMs: 0,
   onTimeWithinMs: 0,
