--- a/packages/fleet/src/members.test.ts
+++ b/packages/fleet/src/members.test.ts
@@ -26,6 +26,8 @@
   rows = new Map<string, platform.table.Row>();
   /** When leases were written, in milliseconds. */
   readonly writesMs: number[] = [];
+  /** True while the table refuses to be read. */
+  isRefusingScans = false;
   private readonly undelivered: (() => void)[] = [];
   private nowMs = 0;
 
@@ -61,7 +63,10 @@
       return true;
     };
     const table = {
-      scan: () => Promise.resolve([...this.rows.values()]),
+      scan: () =>
+        this.isRefusingScans
+          ? Promise.reject(new Error('refused'))
+          : Promise.resolve([...this.rows.values()]),
       commit: ({writes}: platform.table.Transaction) => {
         for (const {key, value} of writes) {
           this.writesMs.push(this.nowMs);
@@ -173,6 +178,28 @@
   assert.ok(last - first > 1500 && last - first <= 2000, `${first} ${last}`);
 });
 
+// Guards against hosts that keep a restored store refusing as they write their leases twice a second.
+test.test('a refused scan does not repeat the write of the lease', async t => {
+  t.mock.timers.enable({apis: ['setInterval', 'setTimeout']});
+  const fleet = new TestFleet(t.mock.timers);
+  await fleet.start();
+  fleet.rows.delete('host/h1');
+  fleet.writesMs.splice(0);
+  fleet.isRefusingScans = true;
+  for (const members of fleet.members.values()) members.onStoreRestored();
+  await fleet.advance(4000);
+  assert.equal(fleet.writesMs.length, HOSTS);
+  const late = {...LEASE.member, host: 'late'};
+  const value = {...LEASE, member: late};
+  fleet.rows.set('host/late', {key: 'host/late', value, version: 1});
+  fleet.isRefusingScans = false;
+  await fleet.advance(4000);
+  for (const members of fleet.members.values()) {
+    assert.equal(members.get('late')?.host, 'late');
+  }
+  assert.equal(fleet.writesMs.length, HOSTS);
+});
+
 const LEASE = {
   member: {
     ...{host: 'h2', region: 'r', zone: 'z', callerUrl: '10.0.0.2:80'},
--- a/packages/fleet/src/members.ts
+++ b/packages/fleet/src/members.ts
@@ -104,13 +104,17 @@
   private watchedNow: readonly string[] | undefined;
   private sequence = 0;
   private lastScanMs = -Infinity;
-  /** True once this host has written its lease and read all leases; until then every tick tries again. */
+  /** True once this host has written its lease; until then every tick tries again. */
+  private isLeaseWritten = false;
+  /** True once it has read all leases as well; until then every tick scans again that is not too soon after the last scan. */
   private hasJoined = false;
   /** True while it does so, since a tick may come before the store has answered. */
   private isJoining = false;
   private rejoinTimer: NodeJS.Timeout | undefined;
   /** True from a restore of the store until the lease is written again. */
   private isLeaseForgotten = false;
+  /** How often the store has come back from an older copy. */
+  private restores = 0;
 
   constructor(private readonly options: MembersOptions) {
     this.membership = decisions.membership.Membership.of(options.self);
@@ -160,6 +164,7 @@
 
   /** Writes the lease again, or deletes it again if this host is leaving, and reads all leases, since the store came back from an older copy. */
   onStoreRestored(): void {
+    this.restores++;
     clearTimeout(this.rejoinTimer);
     const delayMs = this.options.random() * REJOIN_SPREAD_MS;
     this.rejoinTimer = setTimeout(() => void this.rejoin(), delayMs);
@@ -409,7 +414,9 @@
   private async join(): Promise<void> {
     if (this.isJoining) return;
     this.isJoining = true;
-    this.hasJoined = (await this.renew()) && (await this.scan());
+    if (!this.isLeaseWritten) await this.renew();
+    const hasScanned = this.isLeaseWritten && (await this.scan());
+    this.hasJoined = hasScanned && this.isLeaseWritten;
     this.isJoining = false;
     if (this.hasJoined) this.spread([this.membership.self]);
   }
@@ -419,6 +426,7 @@
       return void (await this.deleteLease());
     }
     this.isLeaseForgotten = true;
+    this.isLeaseWritten = false;
     this.hasJoined = false;
     this.lastScanMs = -Infinity;
     await this.join();
@@ -431,21 +439,22 @@
     });
   }
 
-  private async renew(): Promise<boolean> {
+  private async renew(): Promise<void> {
     const {self} = this.membership;
-    if (self.state === 'leaving') return false;
+    if (self.state === 'leaving') return;
+    const {restores} = this;
     const expiresAtMs = this.options.clock.nowMs() + LEASE_TTL_MS;
     const value: leases.Lease = {member: self, expiresAtMs};
     const result = await this.options.table.commit({
       conditions: [],
       writes: [{key: LEASE_PREFIX + self.host, value}],
     });
-    const isWritten = result.kind === 'committed';
-    if (isWritten && this.isLeaseForgotten) {
-      this.isLeaseForgotten = false;
-      this.options.onRewritten?.(LEASE_PREFIX + self.host);
-    }
-    return isWritten;
+    // A write that a restore overtook may be lost.
+    if (result.kind !== 'committed' || restores !== this.restores) return;
+    this.isLeaseWritten = true;
+    if (!this.isLeaseForgotten) return;
+    this.isLeaseForgotten = false;
+    this.options.onRewritten?.(LEASE_PREFIX + self.host);
   }
 
   private async scan(): Promise<boolean> {
--- a/packages/gateway/src/rollouts.ts
+++ b/packages/gateway/src/rollouts.ts
@@ -121,25 +121,26 @@
    * Starts a rollout. An order whose position is not later than the known one
    * is ignored, and after a restore of the store so is a row of its copy with
    * an order that a later one had replaced. The known order, seen in a later
-   * era for the first time, goes on as the same rollout.
+   * era for the first time, goes on as the same rollout. Returns true if a
+   * rollout was started.
    */
-  onOrder(order: RolloutOrder): void {
+  onOrder(order: RolloutOrder): boolean {
     const known = this.rollouts.get(order.service);
     if (known) {
-      if (!order.position.isAfter(known.order.position)) return;
+      if (!order.position.isAfter(known.order.position)) return false;
       const isRestored = known.order.position.isOfEarlierEraThan(
         order.position,
       );
       if (isRestored && isSameOrder(known.order, order)) {
         known.order = order;
         known.ids.add(rolloutIdOf(order));
-        return;
+        return false;
       }
       const isCopy = known.replaced.some(
         old =>
           isSameOrder(old, order) && order.position.mayBeCopyOf(old.position),
       );
-      if (isRestored && isCopy) return;
+      if (isRestored && isCopy) return false;
     }
     this.rollouts.set(order.service, {
       order,
@@ -162,6 +163,7 @@
     });
     this.logState(order, 'in-progress', 'ordered');
     this.updateCandidates();
+    return true;
   }
 
   /** Writes the states of all rollouts again, since the store came back from an older copy. */
