--- a/packages/fleet/src/members.test.ts
+++ b/packages/fleet/src/members.test.ts
@@ -24,10 +24,10 @@
   changes = 0;
   /** The leases in the table. */
   rows = new Map<string, platform.table.Row>();
-  /** True while the table refuses reads of many rows. */
-  isScanRefused = false;
   /** When leases were written, in milliseconds. */
   readonly writesMs: number[] = [];
+  /** True while the table refuses to be read. */
+  isRefusingScans = false;
   private readonly undelivered: (() => void)[] = [];
   private nowMs = 0;
 
@@ -64,7 +64,7 @@
     };
     const table = {
       scan: () =>
-        this.isScanRefused
+        this.isRefusingScans
           ? Promise.reject(new Error('refused'))
           : Promise.resolve([...this.rows.values()]),
       commit: ({writes}: platform.table.Transaction) => {
@@ -178,14 +178,93 @@
   assert.ok(last - first > 1500 && last - first <= 2000, `${first} ${last}`);
 });
 
-// Guards against a fleet that writes all its leases twice a second while the store refuses to list them.
-test.test('a lease is written once while reads of leases fail', async t => {
+// Guards against hosts that keep a restored store refusing as they write their leases twice a second.
+test.test('a refused scan does not repeat the write of the lease', async t => {
   t.mock.timers.enable({apis: ['setInterval', 'setTimeout']});
   const fleet = new TestFleet(t.mock.timers);
   await fleet.start();
+  fleet.rows.delete('host/h1');
   fleet.writesMs.splice(0);
-  fleet.isScanRefused = true;
+  fleet.isRefusingScans = true;
   for (const members of fleet.members.values()) members.onStoreRestored();
-  await fleet.advance(6000);
+  await fleet.advance(4000);
+  assert.equal(fleet.writesMs.length, HOSTS);
+  const late = {...LEASE.member, host: 'late'};
+  const value = {...LEASE, member: late};
+  fleet.rows.set('host/late', {key: 'host/late', value, version: 1});
+  fleet.isRefusingScans = false;
+  await fleet.advance(4000);
+  for (const members of fleet.members.values()) {
+    assert.equal(members.get('late')?.host, 'late');
+  }
   assert.equal(fleet.writesMs.length, HOSTS);
 });
+
+const LEASE = {
+  member: {
+    ...{host: 'h2', region: 'r', zone: 'z', callerUrl: '10.0.0.2:80'},
+    ...{peerAddress: '10.0.0.2:90', incarnation: 1, state: 'serving'},
+  },
+  expiresAtMs: 1e12,
+};
+
+/** Starts the members of a host whose table holds a row with this value beside a lease. */
+async function startBeside(value: unknown) {
+  const nowMs = () => 0;
+  const bad: string[] = [];
+  const rows = [
+    {key: 'host/a', value, version: 1},
+    {key: 'host/h2', value: LEASE, version: 2},
+  ];
+  const members = new membersModule.Members({
+    table: {
+      scan: () => Promise.resolve(rows),
+      commit: () => Promise.resolve({kind: 'committed', version: 1}),
+      read: () => Promise.resolve(new Map()),
+    },
+    clock: {nowMs, monotonicMs: nowMs},
+    timeline: new timelines.Timeline('h1'),
+    router: {send: () => true} as unknown as routers.Router,
+    random: () => 0,
+    self: {...LEASE.member, host: 'h1', state: 'serving'},
+    configState: () => ({configNumber: 0, configAgeMs: 0}),
+    onChange: () => undefined,
+    onConfigState: () => undefined,
+    onBadLease: ({key}) => bad.push(key),
+    ...{onDead: () => undefined, onSilent: () => undefined},
+  });
+  await members.start();
+  return {members, bad};
+}
+
+// Guards against an odd row for which a host starts without the others, or breaks its messages to them.
+for (const [name, value] of Object.entries({
+  'no value': undefined,
+  null: null,
+  'a number': 7,
+  'a list': [],
+  'no member': {expiresAtMs: 1e12},
+  'no host': {...LEASE, member: {...LEASE.member, host: undefined}},
+  'an address that is none': {
+    ...LEASE,
+    member: {...LEASE.member, peerAddress: 'nowhere'},
+  },
+  'port 99999': {
+    ...LEASE,
+    member: {...LEASE.member, peerAddress: '10.0.0.9:99999'},
+  },
+  'a huge incarnation': {
+    ...LEASE,
+    member: {...LEASE.member, incarnation: 1e300},
+  },
+  'another state': {...LEASE, member: {...LEASE.member, state: 'lost'}},
+  'no end': {member: LEASE.member, expiresAtMs: 'never'},
+})) {
+  test.test(`hosts are found beside a row with ${name}`, async t => {
+    t.mock.timers.enable({apis: ['setInterval']});
+    const {members, bad} = await startBeside(value);
+    const hosts = members.view.members.map(({host}) => host);
+    assert.deepEqual(hosts, ['h1', 'h2']);
+    assert.deepEqual(bad, ['host/a']);
+  });
+}
--- a/packages/fleet/src/members.ts
+++ b/packages/fleet/src/members.ts
@@ -2,6 +2,7 @@
 import type * as peers from '@banyanhall/peers';
 import type * as platform from '@banyanhall/platform';
 
+import * as leases from './leases.js';
 import type * as routers from './router.js';
 import type * as timelines from './timeline.js';
 
@@ -37,12 +38,6 @@
 
 type Member = decisions.membership.Member;
 
-/** The lease of a host, as stored in the table. */
-interface Lease {
-  readonly member: Member;
-  readonly expiresAtMs: number;
-}
-
 /** The sender's configuration number and its age, as carried by probes and acks. */
 export interface ConfigState {
   readonly configNumber: number;
@@ -65,6 +60,8 @@
   readonly onDead: (host: string) => void;
   /** Called when a host serves that is new, was restarted or was dead. */
   readonly onJoin?: (host: string) => void;
+  /** Called for each row that is no lease, at each scan. */
+  readonly onBadLease?: (row: platform.table.Row) => void;
   /** Called when a host misses a probe and has sent no message for `SILENT_MS`. */
   readonly onSilent: (host: string) => void;
   /** Called when the lease has been written again that the store may have lost. */
@@ -107,14 +104,17 @@
   private watchedNow: readonly string[] | undefined;
   private sequence = 0;
   private lastScanMs = -Infinity;
-  /** True once this host has written its lease and read all leases; until then every tick tries again. */
-  private hasJoined = false;
+  /** True once this host has written its lease; until then every tick tries again. */
   private isLeaseWritten = false;
+  /** True once it has read all leases as well; until then every tick scans again that is not too soon after the last scan. */
+  private hasJoined = false;
   /** True while it does so, since a tick may come before the store has answered. */
   private isJoining = false;
   private rejoinTimer: NodeJS.Timeout | undefined;
   /** True from a restore of the store until the lease is written again. */
   private isLeaseForgotten = false;
+  /** How often the store has come back from an older copy. */
+  private restores = 0;
 
   constructor(private readonly options: MembersOptions) {
     this.membership = decisions.membership.Membership.of(options.self);
@@ -164,6 +164,7 @@
 
   /** Writes the lease again, or deletes it again if this host is leaving, and reads all leases, since the store came back from an older copy. */
   onStoreRestored(): void {
+    this.restores++;
     clearTimeout(this.rejoinTimer);
     const delayMs = this.options.random() * REJOIN_SPREAD_MS;
     this.rejoinTimer = setTimeout(() => void this.rejoin(), delayMs);
@@ -413,8 +414,9 @@
   private async join(): Promise<void> {
     if (this.isJoining) return;
     this.isJoining = true;
-    this.isLeaseWritten ||= await this.renew();
-    this.hasJoined = this.isLeaseWritten && (await this.scan());
+    if (!this.isLeaseWritten) await this.renew();
+    const hasScanned = this.isLeaseWritten && (await this.scan());
+    this.hasJoined = hasScanned && this.isLeaseWritten;
     this.isJoining = false;
     if (this.hasJoined) this.spread([this.membership.self]);
   }
@@ -424,8 +426,8 @@
       return void (await this.deleteLease());
     }
     this.isLeaseForgotten = true;
-    this.hasJoined = false;
     this.isLeaseWritten = false;
+    this.hasJoined = false;
     this.lastScanMs = -Infinity;
     await this.join();
   }
@@ -437,21 +439,22 @@
     });
   }
 
-  private async renew(): Promise<boolean> {
+  private async renew(): Promise<void> {
     const {self} = this.membership;
-    if (self.state === 'leaving') return false;
+    if (self.state === 'leaving') return;
+    const {restores} = this;
     const expiresAtMs = this.options.clock.nowMs() + LEASE_TTL_MS;
-    const value: Lease = {member: self, expiresAtMs};
+    const value: leases.Lease = {member: self, expiresAtMs};
     const result = await this.options.table.commit({
       conditions: [],
       writes: [{key: LEASE_PREFIX + self.host, value}],
     });
-    const isWritten = result.kind === 'committed';
-    if (isWritten && this.isLeaseForgotten) {
-      this.isLeaseForgotten = false;
-      this.options.onRewritten?.(LEASE_PREFIX + self.host);
-    }
-    return isWritten;
+    // A write that a restore overtook may be lost.
+    if (result.kind !== 'committed' || restores !== this.restores) return;
+    this.isLeaseWritten = true;
+    if (!this.isLeaseForgotten) return;
+    this.isLeaseForgotten = false;
+    this.options.onRewritten?.(LEASE_PREFIX + self.host);
   }
 
   private async scan(): Promise<boolean> {
@@ -464,7 +467,11 @@
     const before = this.membership;
     const news: Member[] = [];
     for (const row of rows) {
-      const lease = row.value as Lease;
+      const lease = leases.decode(row.value);
+      if (!lease) {
+        this.options.onBadLease?.(row);
+        continue;
+      }
       if (lease.expiresAtMs < this.options.clock.nowMs()) continue;
       if (this.membership.get(lease.member.host)?.state === 'dead') continue;
       const update = this.membership.merge(lease.member, this.nowMs);
--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -16,15 +16,17 @@
 import * as crashprobes from './crashprobe.js';
 import * as requests from './request.js';
 import type * as rollouts from './rollouts.js';
+import * as shutdowns from './shutdown.js';
+import * as silences from './silence.js';
 import * as suspectrejections from './suspectrejections.js';
 
 /** The maximum number of attempts of a request whatever its route allows, including attempts refused by backend servers. */
 const MAX_ATTEMPTS = 4;
-/** A resumable stream is resumed on another backend server after this time without data; time spent waiting for a slow caller counts too. */
-const STREAM_IDLE_TIMEOUT_MS = 1200;
-/** The response timeout after which an idempotent request is retried, as a multiple of its latency objective. */
-const RESPONSE_TIMEOUT_FACTOR = 2.5;
-const MIN_RESPONSE_TIMEOUT_MS = 300;
+/** A resumable stream is to be resumed on another backend server after this time without data. */
+const STREAM_SILENCE_MS = 1200;
+/** The time without a response after which an idempotent request is to be retried, as a multiple of its latency objective. */
+const RESPONSE_SILENCE_FACTOR = 2.5;
+const MIN_RESPONSE_SILENCE_MS = 300;
 /** The minimum time before the deadline for a retry. */
 const MIN_RETRY_TIME_MS = 60;
 /** An attempt without a first byte for this long counts against the backend server even if it ends because the caller disconnected or the deadline passed. */
@@ -50,6 +52,7 @@
   readonly statements: statementsModule.Statements;
   readonly fleetLimits: fleetlimits.FleetLimits;
   readonly rollouts: rollouts.Rollouts;
+  readonly shutdown: shutdowns.Shutdown;
   readonly log: logs.Log;
   readonly metrics: metrics.Metrics;
 }
@@ -61,11 +64,17 @@
   | {readonly kind: 'caller-left'}
   | requests.Rejection;
 
-/** One dispatch of a request to a backend server. */
-interface Attempt {
+/** A slot for an attempt, held until the attempt is done. */
+interface Placement {
   readonly grant: slotsModule.Grant;
   readonly entry: directories.ServerEntry;
   readonly isCandidate: boolean;
+  /** True when the slot was asked for a suspect request. */
+  readonly isSuspect: boolean;
+}
+
+/** One dispatch of a request to a backend server. */
+interface Attempt extends Placement {
   readonly number: number;
   /** True when an earlier attempt went to the same backend server. */
   readonly isRepeat: boolean;
@@ -75,6 +84,7 @@
 /** An attempt in flight. */
 interface SentAttempt extends Attempt {
   readonly tracked: crashesModule.TrackedRequest;
+  readonly silence: silences.SilenceWatch<Placement>;
 }
 
 /** The state of a request over its attempts. */
@@ -84,11 +94,15 @@
   mayHaveRun: boolean;
   /** True when the next attempt has already been counted in the retry budget. */
   isRetryCounted: boolean;
+  /** Where the next attempt goes, counted in the retry budget; undefined unless the last one was given up for it. */
+  repeat: Placement | undefined;
   /** The backend servers of all attempts; the keeper avoids them for a retry. */
   readonly triedServers: string[];
   lastEventId: string | undefined;
-  /** True when part of a stream's body has been relayed to the caller. */
-  hasRelayedBytes: boolean;
+  /** When part of a stream's body was last relayed to the caller; undefined before. */
+  relayedMs: number | undefined;
+  /** True until the next attempt is sent. */
+  isWaiting: boolean;
 }
 
 /** Whether a request is retried after an attempt (`again`) or has ended. */
@@ -103,6 +117,9 @@
   /** The starts of backend servers of which an unreadable statement was logged. */
   private readonly unreadableStarts = new Set<string>();
 
+  /** The number of slot requests so far. */
+  private slotRequests = 0;
+
   constructor(private readonly options: DispatcherOptions) {}
 
   /**
@@ -127,13 +144,19 @@
       attempts: 0,
       mayHaveRun: false,
       isRetryCounted: false,
+      repeat: undefined,
       triedServers: [],
       lastEventId: forwarding.headers.value(
         received.headers,
         this.options.dialect.names.lastEventId,
       ),
-      hasRelayedBytes: false,
+      relayedMs: undefined,
+      isWaiting: true,
     };
+    const {shutdown} = this.options;
+    const release = shutdown.abortWhen(deadline, () =>
+      progress.isWaiting ? !shutdown.hasTimeFor(accepted) : shutdown.mustCut,
+    );
     try {
       for (;;) {
         const decision = await this.runAttempt(
@@ -148,6 +171,8 @@
       }
     } finally {
       clearTimeout(timer);
+      release();
+      if (progress.repeat) this.release(progress.repeat);
     }
   }
 
@@ -174,9 +199,22 @@
     charged: Promise<requests.Rejection | undefined>,
   ): Promise<RetryDecision> {
     const {directory, slots, rollouts, metrics} = this.options;
+    const {repeat} = progress;
+    progress.repeat = undefined;
+    if (repeat && this.isUsable(repeat, accepted, progress)) {
+      return this.sendTo(repeat, accepted, caller, progress, signal);
+    }
+    if (repeat) {
+      this.release(repeat);
+      progress.isRetryCounted = true;
+    }
     const isCandidate = rollouts.usesCandidate(accepted.service);
     const pool = directory.pool(accepted.service, isCandidate);
     if (!pool) return this.giveUp(progress, 'no-backend-server');
+    progress.isWaiting = true;
+    if (!this.options.shutdown.hasTimeFor(accepted)) {
+      return this.giveUpForStop(progress);
+    }
     const isCounted = progress.attempts === 0 || progress.isRetryCounted;
     progress.isRetryCounted = false;
     if (!isCounted && !this.tryCountRetry(accepted, progress)) {
@@ -191,7 +229,7 @@
       const {type, retryAfterMs} = error.failure;
       const waitedMs = this.nowMs - accepted.received.arrivedMs;
       const detail = `tier ${accepted.tier}, ${pool.backendServers.length} servers, waited ${Math.round(waitedMs)} ms${this.describeLimits(pool)}`;
-      if (signal.aborted) return this.deadlineExceeded(progress, detail);
+      if (signal.aborted) return this.endAborted(progress, signal, detail);
       return this.giveUp(progress, type, retryAfterMs, detail);
     }
     const rejection = await charged;
@@ -204,6 +242,10 @@
       slots.done(grant.ticketId, {kind: 'cancelled'});
       return withdrawn;
     }
+    if (!this.options.shutdown.hasTimeFor(accepted)) {
+      slots.done(grant.ticketId, {kind: 'cancelled'});
+      return this.giveUpForStop(progress);
+    }
     metrics.slotWaitS.observe(
       {service: accepted.service},
       (this.nowMs - accepted.received.arrivedMs) / 1000,
@@ -213,16 +255,31 @@
       slots.done(grant.ticketId, {kind: 'not-admitted', isLeaving: true});
       return RETRY;
     }
+    const {isSuspect} = slotRequest;
+    const placement = {grant, entry, isCandidate, isSuspect};
+    return this.sendTo(placement, accepted, caller, progress, signal);
+  }
+
+  /** Counts the next attempt and sends it to the backend server whose slot is held. */
+  private sendTo(
+    placement: Placement,
+    accepted: requests.AcceptedRequest,
+    caller: callerresponses.CallerResponse,
+    progress: Progress,
+    signal: AbortSignal,
+  ): Promise<RetryDecision> {
+    const {entry} = placement;
     const attempt: Attempt = {
-      ...{grant, entry, isCandidate},
+      ...placement,
       number: ++progress.attempts,
       isRepeat: progress.triedServers.includes(entry.id),
       sentMs: this.nowMs,
     };
     progress.triedServers.push(entry.id);
+    progress.isWaiting = false;
     if (attempt.number === 1)
       this.options.fleetLimits.countFirstAttempt(accepted.service);
-    else metrics.retries.inc({service: accepted.service});
+    else this.options.metrics.retries.inc({service: accepted.service});
     return this.send(accepted, caller, progress, attempt, signal);
   }
 
@@ -258,7 +315,8 @@
   ): slotsModule.SlotRequest {
     const {received, account, demand, deadlineMs} = accepted;
     return {
-      requestId: received.id,
+      // A repeat may wait for its slot while the attempt before holds one.
+      requestId: `${received.id}#${++this.slotRequests}`,
       service: pool,
       account: {
         name: account?.name ?? '',
@@ -270,7 +328,7 @@
       tier: accepted.tier,
       urgency: accepted.urgency,
       deadlineMs,
-      firstByMs: Math.min(deadlineMs, accepted.firstByteDeadlineMs),
+      firstByMs: Math.min(deadlineMs, this.callerGivesUpMs(accepted, progress)),
       onTimeByMs: Math.min(deadlineMs, accepted.onTimeDeadlineMs),
       promptTokens: demand?.promptTokens ?? 0,
       outputTokens:
@@ -295,9 +353,8 @@
     const {names} = dialect;
     const {entry, grant} = attempt;
     const leftMs = Math.floor(accepted.deadlineMs - this.nowMs);
-    const canMeetFirstByteDeadline =
-      progress.hasRelayedBytes || this.nowMs < accepted.firstByteDeadlineMs;
-    if (leftMs <= 1 || !canMeetFirstByteDeadline) {
+    const isTooLate = this.nowMs >= this.callerGivesUpMs(accepted, progress);
+    if (leftMs <= 1 || isTooLate) {
       slots.done(grant.ticketId, {kind: 'cancelled'});
       return this.deadlineExceeded(progress);
     }
@@ -327,14 +384,8 @@
       limitPerS,
     });
     if (limitPerS !== undefined) metrics.limitedSends.inc({server: entry.id});
-    const timeout = new AbortController();
-    const timeoutMs = this.responseTimeoutMs(accepted, progress);
-    // Infinity is replaced by the longest delay that setTimeout accepts.
-    const timer = setTimeout(
-      () => timeout.abort(new Error('silent')),
-      Math.min(timeoutMs, 2 ** 31 - 1),
-    );
-    const sendSignal = AbortSignal.any([signal, timeout.signal]);
+    const silence = this.watchSilence(accepted, progress, attempt);
+    const sendSignal = AbortSignal.any([signal, silence.signal]);
     try {
       const result = await upstream.send(
         {
@@ -364,21 +415,113 @@
           signal,
         );
       }
-      return await this.relay(
+      const decision = await this.relay(
         accepted,
         caller,
         progress,
-        {...attempt, tracked},
+        {...attempt, tracked, silence},
         result,
         signal,
-        timer,
       );
+      if (decision.kind === 'ended' && decision.ended.kind === 'answered') {
+        const durationMs = this.nowMs - attempt.sentMs;
+        this.options.shutdown.recordDuration(route.name, durationMs);
+      }
+      return decision;
     } finally {
-      clearTimeout(timer);
+      silence.stop();
+      progress.repeat = silence.repeat;
       tracked.end();
     }
   }
 
+  /** Watches an attempt for silence, so that it is given up once its repeat has a slot. */
+  private watchSilence(
+    accepted: requests.AcceptedRequest,
+    progress: Progress,
+    attempt: Attempt,
+  ): silences.SilenceWatch<Placement> {
+    const silenceMs = this.silenceMs(accepted, progress);
+    return new silences.SilenceWatch<Placement>({
+      silenceMs,
+      secure: async signal => {
+        const repeat = await this.secureRepeat(accepted, progress, signal);
+        this.options.log.event('silent', accepted.received.id, {
+          ...{server: attempt.entry.id, send: attempt.number, silenceMs},
+          afterMs: Math.round(this.nowMs - attempt.sentMs),
+          repeat: typeof repeat === 'string' ? repeat : repeat.entry.id,
+        });
+        return typeof repeat === 'string' ? undefined : repeat;
+      },
+      release: repeat => this.release(repeat),
+    });
+  }
+
+  /** Takes a slot and a retry for the repeat of an attempt in flight; resolves to the reason when there is none. */
+  private async secureRepeat(
+    accepted: requests.AcceptedRequest,
+    progress: Progress,
+    signal: AbortSignal,
+  ): Promise<Placement | string> {
+    const {directory, slots, rollouts, fleetLimits} = this.options;
+    const {service} = accepted;
+    if (!this.couldRetryAfterRunning(accepted, progress)) return 'not-allowed';
+    if (!fleetLimits.hasRetryLeft(service)) return 'no-retry-left';
+    const isCandidate = rollouts.usesCandidate(service);
+    const pool = directory.pool(service, isCandidate);
+    if (!pool) return 'no-backend-server';
+    const slotRequest = {
+      ...this.slotRequest(accepted, pool, progress),
+      isOptional: true,
+    };
+    const grant = await slots.acquire(slotRequest, signal).catch(onlyFailure);
+    if (grant instanceof decisions.verdict.FailureError) {
+      return signal.aborted ? 'not-silent' : grant.failure.type;
+    }
+    const entry = directory.entry(grant.server.name);
+    const {isSuspect} = slotRequest;
+    const repeat = entry && {grant, entry, isCandidate, isSuspect};
+    if (
+      repeat &&
+      !signal.aborted &&
+      this.isUsable(repeat, accepted, progress) &&
+      fleetLimits.tryCountRetry(service)
+    ) {
+      return repeat;
+    }
+    slots.done(grant.ticketId, {kind: 'cancelled'});
+    return signal.aborted ? 'not-silent' : 'not-usable';
+  }
+
+  /** True if a repeat may be sent where its slot is: not to a backend server that was silent, and not among others once it is suspect. */
+  private isUsable(
+    {entry, isSuspect}: Placement,
+    accepted: requests.AcceptedRequest,
+    progress: Progress,
+  ): boolean {
+    const {status} = this.standingOf(accepted);
+    return (
+      !progress.triedServers.includes(entry.id) &&
+      (status === 'clear' || (status === 'suspect' && isSuspect)) &&
+      this.nowMs < this.callerGivesUpMs(accepted, progress) &&
+      this.couldRetryAfterRunning(accepted, progress)
+    );
+  }
+
+  /** Returns the slot of an attempt that is not sent. */
+  private release({grant}: Placement): void {
+    this.options.slots.done(grant.ticketId, {kind: 'cancelled'});
+  }
+
+  /** When the caller gives up unless it receives something before. */
+  private callerGivesUpMs(
+    {firstByteDeadlineMs, route}: requests.AcceptedRequest,
+    {relayedMs}: Progress,
+  ): number {
+    if (relayedMs === undefined) return firstByteDeadlineMs;
+    return relayedMs + route.callerPatienceMs;
+  }
+
   /** Logs once for a start of a backend server that it states something that can't be read. */
   private logUnreadable(
     entry: directories.ServerEntry,
@@ -417,7 +560,6 @@
     attempt: SentAttempt,
     head: forwarding.upstream.ResponseHead,
     signal: AbortSignal,
-    timer: NodeJS.Timeout,
   ): Promise<RetryDecision> {
     const {response} = head;
     const type = response.headers['content-type'] ?? '';
@@ -427,15 +569,12 @@
       type.includes('event-stream');
     if (isStream) {
       return this.relayStream(
-        ...([
-          accepted,
-          caller,
-          progress,
-          attempt,
-          head,
-          signal,
-          timer,
-        ] as const),
+        accepted,
+        caller,
+        progress,
+        attempt,
+        head,
+        signal,
       );
     }
     return this.relayWhole(accepted, caller, progress, attempt, head, signal);
@@ -499,15 +638,13 @@
     attempt: SentAttempt,
     head: forwarding.upstream.ResponseHead,
     signal: AbortSignal,
-    timer: NodeJS.Timeout,
   ): Promise<RetryDecision> {
     const {response} = head;
     const isResumable = accepted.route.isResumable;
     const framer = new forwarding.events.EventFramer();
     // The id that a stream must go on after; undefined unless this attempt resumes one within its response.
-    const resumedAfter = progress.hasRelayedBytes
-      ? progress.lastEventId
-      : undefined;
+    const resumedAfter =
+      progress.relayedMs !== undefined ? progress.lastEventId : undefined;
     let firstByteMs = 0;
     let eventCount = 0;
     let isPaceKnown = false;
@@ -527,8 +664,7 @@
       for await (const chunk of response) {
         const batch = framer.push(chunk as Buffer);
         const bytes = isResumable ? batch.bytes : (chunk as Buffer);
-        if (isResumable) timer.refresh();
-        else clearTimeout(timer);
+        attempt.silence.onData();
         const isFirst = eventCount === 0 && batch.bytes.length > 0;
         eventCount += batch.count;
         if (isFirst && resumedAfter !== undefined) {
@@ -542,12 +678,15 @@
           this.addTiming(accepted, attempt, firstByteMs - attempt.sentMs, 0);
         }
         if (eventCount >= PACE_EVENTS) addPace();
-        progress.hasRelayedBytes = true;
+        progress.relayedMs = this.nowMs;
         if (!caller.isStarted) {
           this.observeFirstByte(accepted);
           caller.start(response);
         }
-        if (!caller.write(bytes)) await caller.waitForDrain();
+        if (caller.write(bytes)) continue;
+        attempt.silence.stop();
+        await caller.waitForDrain();
+        attempt.silence.onData();
       }
       const isCut =
         head.endsWithConnection &&
@@ -619,10 +758,10 @@
     if (signal.aborted) {
       const isSilent = this.nowMs - attempt.sentMs >= SILENT_MS;
       const kind =
-        isSilent && !progress.hasRelayedBytes ? 'silent' : 'cancelled';
+        isSilent && progress.relayedMs === undefined ? 'silent' : 'cancelled';
       slots.done(grant.ticketId, {kind});
       this.addUnansweredTime(accepted, progress, attempt);
-      return this.deadlineExceeded(progress);
+      return this.endAborted(progress, signal);
     }
     this.addSample(accepted, attempt, failure.verdict !== 'not-run', 0, 0);
     const isBroken =
@@ -653,6 +792,7 @@
     const {route} = accepted;
     if (progress.attempts >= MAX_ATTEMPTS) return false;
     if (accepted.deadlineMs - this.nowMs < MIN_RETRY_TIME_MS) return false;
+    if (!this.options.shutdown.hasTimeFor(accepted)) return false;
     if (this.standingOf(accepted).status === 'refused') return false;
     if (!progress.mayHaveRun) return true;
     if (progress.attempts >= route.maxAttempts) return false;
@@ -667,7 +807,8 @@
     retryAfterMs = NO_SERVER_RETRY_AFTER_MS,
     detail = `after ${progress.attempts} attempts`,
   ): RetryDecision {
-    if (progress.hasRelayedBytes) return ended({kind: 'broken-off', reason});
+    if (progress.relayedMs !== undefined)
+      return ended({kind: 'broken-off', reason});
     const status = progress.mayHaveRun ? 502 : 503;
     const rejectionRetryAfterMs = progress.mayHaveRun
       ? undefined
@@ -677,28 +818,46 @@
     );
   }
 
+  /** Ends a request that a stopping host has too little time for. */
+  private giveUpForStop(progress: Progress, detail?: string): RetryDecision {
+    const {REASON, RETRY_AFTER_MS} = shutdowns;
+    return this.giveUp(progress, REASON, RETRY_AFTER_MS, detail);
+  }
+
+  /** Ends a request whose signal was aborted: at its deadline, or cut by a stopping host. */
+  private endAborted(
+    progress: Progress,
+    signal: AbortSignal,
+    detail?: string,
+  ): RetryDecision {
+    return signal.reason === shutdowns.CUT_REASON
+      ? this.giveUpForStop(progress, detail)
+      : this.deadlineExceeded(progress, detail);
+  }
+
   /** Ends a request at its deadline: breaks off its stream, or rejects it with 504 if it may have run and 503 otherwise. */
   private deadlineExceeded(
     progress: Progress,
     detail = `after ${progress.attempts} attempts`,
   ): RetryDecision {
     const reason = 'deadline';
-    if (progress.hasRelayedBytes) return ended({kind: 'broken-off', reason});
+    if (progress.relayedMs !== undefined)
+      return ended({kind: 'broken-off', reason});
     const status = progress.mayHaveRun ? 504 : 503;
     return ended(requests.rejection(status, reason, undefined, detail));
   }
 
-  /** How long to wait for a response or a stream's next data; Infinity when no retry could follow. */
-  private responseTimeoutMs(
+  /** How long a response or a stream's next data may be missing before a repeat is secured; Infinity when no retry could follow. */
+  private silenceMs(
     accepted: requests.AcceptedRequest,
     progress: Progress,
   ): number {
     const {route} = accepted;
     if (!this.couldRetryAfterRunning(accepted, progress)) return Infinity;
-    if (route.repeatability === 'stream') return STREAM_IDLE_TIMEOUT_MS;
+    if (route.repeatability === 'stream') return STREAM_SILENCE_MS;
     return Math.max(
-      MIN_RESPONSE_TIMEOUT_MS,
-      route.objectiveMs * RESPONSE_TIMEOUT_FACTOR,
+      MIN_RESPONSE_SILENCE_MS,
+      route.objectiveMs * RESPONSE_SILENCE_FACTOR,
     );
   }
 
@@ -744,7 +903,7 @@
     attempt: Attempt,
   ): void {
     const sinceMs = this.nowMs - attempt.sentMs;
-    if (progress.hasRelayedBytes) return;
+    if (progress.relayedMs !== undefined) return;
     if (sinceMs < accepted.route.objectiveMs) return;
     this.addTiming(accepted, attempt, sinceMs, 0);
   }
@@ -771,10 +930,11 @@
     (hasCrashed: boolean) => decisions.runner.Outcome
   >
 > = {
+  'invalid-request': () => ({kind: 'cancelled'}),
   'connect-failed': () => ({kind: 'unreachable'}),
   reset: hasCrashed => ({kind: hasCrashed ? 'crashed' : 'failed'}),
   'broken-answer': hasCrashed => ({kind: hasCrashed ? 'crashed' : 'failed'}),
-  // The caller is still connected: this host cancelled the attempt at its response timeout.
+  // The caller is still connected: this host gave up the attempt for its silence.
   cancelled: () => ({kind: 'silent'}),
   'timed-out': () => ({kind: 'failed'}),
   'foreign-answer': () => ({kind: 'failed'}),
@@ -796,6 +956,12 @@
   throw new Error(`resumed stream does not go on after ${after}: ${found}`);
 }
 
+/** Returns the failure of a slot request; throws any other error. */
+function onlyFailure(error: unknown): decisions.verdict.FailureError {
+  if (error instanceof decisions.verdict.FailureError) return error;
+  throw error;
+}
+
 function ended(result: DispatchResult): RetryDecision {
   return {kind: 'ended', ended: result};
 }
