Directory: end its delays when the host stops

A removal or use that is put off while the store is away is put off again and again; in a process that goes on after its host has stopped, as in tests, that never ended: the test of a server that is gone after a restore kept its file running for 400 s, until it was killed. Stopping a host now ends these delays.

--- a/packages/gateway/src/directory.ts
+++ b/packages/gateway/src/directory.ts
@@ -235,6 +235,14 @@
     this.onServerEntries(changes);
   }
 
+  /** Ends the delays after which entries are removed or used. */
+  stop(): void {
+    for (const timers of [this.removalTimers, this.heldTimers]) {
+      for (const timer of timers.values()) clearTimeout(timer);
+      timers.clear();
+    }
+  }
+
   /** Records whether the store answers. */
   onStoreStatus(isAnswering: boolean): void {
     if (this.isStoreDown === !isAnswering) return;
--- a/packages/gateway/src/host.ts
+++ b/packages/gateway/src/host.ts
@@ -389,6 +389,7 @@
       part.stop();
     }
     this.rollouts.stop();
+    this.directory.stop();
     this.lag.stop();
     this.members.stop();
     this.links.close();
