Decide the charge of each request, also of two with one id

What callers saw: of two requests in flight at one host with the same id, or both without one, and an account with a rate, one was never answered.

Cause: `Allowances.open` was keyed by the caller's id. The second charge took the place of the first, whose promise then never settled, and neither the host nor the dispatcher bounds the wait for it.

Before, with these tests:

not ok - two charges with the id 'same' are both decided + actual - expected [ + <1 empty item>, - 'ok', 429 ] not ok - two charges with the id '' are both decided (the same) not ok - an unanswered charge is decided at the deadline not ok - requests with the same id are all answered the condition was not met before the timeout

--- a/packages/gateway/src/allowances.ts
+++ b/packages/gateway/src/allowances.ts
@@ -72,7 +72,9 @@
 export class Allowances {
   private readonly ledger: routing.allowance.AllowanceLedger;
   private readonly view: routing.allowance.AllowanceView;
+  /** By a number of this host, as callers may use the id of a request again. */
   private readonly open = new Map<string, OpenCharge>();
+  private lastCharge = 0;
   private readonly epoch: string;
   /** The largest number of hosts in the current and in the previous span of `RECENT_HOSTS_MS`. */
   private hostPeaks: readonly [number, number] = [1, 1];
@@ -99,20 +101,23 @@
 
   /** Charges a request's tokens to its account. */
   charge(accepted: requests.AcceptedRequest): PendingCharge {
-    const {account, demand, received, deadlineMs} = accepted;
+    const {account, demand, deadlineMs} = accepted;
     if (!account || account.tokensPerS === 0) return GRANTED;
     const tokens = requests.chargedTokens(account, demand);
     const {nowMs} = this;
     const isLikely = this.view.isFar(account.name, tokens, nowMs);
-    const maxWaitMs = (deadlineMs - nowMs) * MAX_RETRY_FRACTION;
+    const leftMs = Math.max(0, deadlineMs - nowMs);
+    const maxWaitMs = leftMs * MAX_RETRY_FRACTION;
     const hub = this.hubOf(account.name);
+    const id = this.nextId();
     const result = new Promise<requests.Rejection | undefined>(settle => {
-      const onTimeout = () => this.onTimeout(received.id);
-      const timer = setTimeout(onTimeout, ANSWER_TIMEOUT_MS);
+      const onTimeout = () => this.onTimeout(id);
+      const timeoutMs = Math.min(ANSWER_TIMEOUT_MS, leftMs);
+      const timer = setTimeout(onTimeout, timeoutMs);
       const charge = {...{accepted, account, tokens, hub, timer}, settle};
-      this.open.set(received.id, charge);
+      this.open.set(id, charge);
     });
-    this.sendCharge(accepted, account, hub, Math.max(0, maxWaitMs), false);
+    this.sendCharge(id, accepted, account, hub, maxWaitMs, false);
     return {isLikely, result};
   }
 
@@ -178,16 +183,20 @@
     return decisions.celltopology.largeHostFor(`hub/${index}`, members(), host);
   }
 
-  private close(requestId: string, {timer}: OpenCharge): void {
+  private nextId(): string {
+    return String(++this.lastCharge);
+  }
+
+  private close(id: string, {timer}: OpenCharge): void {
     clearTimeout(timer);
-    this.open.delete(requestId);
+    this.open.delete(id);
   }
 
   /** Decides a charge that the hub did not answer, and tells the hub what was taken. */
-  private onTimeout(requestId: string): void {
-    const charge = this.open.get(requestId);
+  private onTimeout(id: string): void {
+    const charge = this.open.get(id);
     if (!charge) return;
-    this.close(requestId, charge);
+    this.close(id, charge);
     const {accepted, account, tokens, hub, settle} = charge;
     const {onUnanswered} = this.options;
     onUnanswered(hub);
@@ -197,11 +206,13 @@
     if (!this.view.takeAlone(account.name, tokens, limit, hosts, nowMs)) {
       return settle(rejectionOf(charge, MIN_RETRY_AFTER_MS));
     }
-    this.sendCharge(accepted, account, this.hubOf(account.name), 0, true);
+    const currentHub = this.hubOf(account.name);
+    this.sendCharge(this.nextId(), accepted, account, currentHub, 0, true);
     settle(undefined);
   }
 
   private sendCharge(
+    requestId: string,
     accepted: requests.AcceptedRequest,
     account: routing.configuration.Account,
     hub: string,
@@ -213,7 +224,7 @@
     this.options.send(hub, {
       kind: 'charge',
       body: {
-        requestId: accepted.received.id,
+        requestId,
         account: account.name,
         tokens: requests.chargedTokens(account, accepted.demand),
         ...{perS, burst, isTaken},
