Track requests in flight with one id apart

What could be seen: of two requests with the same id, or without one, in flight on one backend server, the end of the first also ended the tracking of the second. If the server then crashed, the second was not on record as suspect and could go on among others.

Cause: `Crashes.inFlight` was keyed by the caller's id within a server.

Before, with this test:

not ok - requests with the same id are tracked apart Expected "actual" to be strictly unequal to: 'clear'

Change: each tracked request has a key of its own.

--- a/packages/fleet/src/crashes.test.ts
+++ b/packages/fleet/src/crashes.test.ts
@@ -350,6 +350,22 @@
   }
 });
 
+// Guards against a request that is not tracked any more since another with its id has ended, so that its crash is not counted.
+test.test('requests with the same id are tracked apart', () => {
+  const {hosts} = new Simulation({seed: 1, deadly: {}, hosts: 1});
+  const [host] = hosts;
+  const [first] = ['a', 'b'].map(fingerprint =>
+    host.trackInFlight('i-1', {requestId: '', fingerprint, parts: []}),
+  );
+  first.end();
+  host.recordCrash('i-1');
+  assert.equal(host.standingOf({fingerprint: 'a', parts: []}).status, 'clear');
+  assert.notEqual(
+    host.standingOf({fingerprint: 'b', parts: []}).status,
+    'clear',
+  );
+});
+
 test.test('memory of answers is bounded whatever callers send', () => {
   const sim = new Simulation({seed: 1, deadly: {}, hosts: 1});
   const [host] = sim.hosts;
--- a/packages/fleet/src/crashes.ts
+++ b/packages/fleet/src/crashes.ts
@@ -51,10 +51,10 @@
   private parts = decisions.suspectparts.SuspectParts.empty;
   /** When a request with each part was last answered, the least recent first. */
   private readonly answeredMs = new Map<string, number>();
-  /** Requests in flight, by backend server and request id. */
+  /** Requests in flight, by backend server; each has a key of its own, as several may have one id. */
   private readonly inFlight = new Map<
     string,
-    Map<string, decisions.suspects.InFlightRequest>
+    Map<RequestIdentity, decisions.suspects.InFlightRequest>
   >();
   private timer: NodeJS.Timeout | undefined;
   private crashCount = 0;
@@ -112,21 +112,22 @@
 
   /** Records a request as in flight on a backend server. */
   trackInFlight(server: string, request: RequestIdentity): TrackedRequest {
-    const {requestId, fingerprint, parts} = request;
+    const {fingerprint, parts} = request;
+    const key = {...request};
     const requests =
       this.inFlight.get(server) ??
-      new Map<string, decisions.suspects.InFlightRequest>();
+      new Map<RequestIdentity, decisions.suspects.InFlightRequest>();
     this.inFlight.set(server, requests);
     const dispatchedMs = this.options.clock.nowMs();
     const entry = {fingerprint, dispatchedMs, parts};
-    requests.set(requestId, {...entry, hasBegun: false});
+    requests.set(key, {...entry, hasBegun: false});
     return {
       markBegun: () => {
-        if (!requests.has(requestId)) return;
-        requests.set(requestId, {...entry, hasBegun: true});
+        if (!requests.has(key)) return;
+        requests.set(key, {...entry, hasBegun: true});
       },
       end: () => {
-        requests.delete(requestId);
+        requests.delete(key);
         const isLast = requests.size === 0;
         if (isLast && this.inFlight.get(server) === requests) {
           this.inFlight.delete(server);
@@ -155,7 +156,7 @@
     requests.clear();
     this.options.timeline.record('crash', '', {
       ...{server, crashId: crash.crashId, requests: crash.requests.length},
-      unbegun: unbegun.map(([requestId]) => requestId).join(' '),
+      unbegun: unbegun.map(([{requestId}]) => requestId).join(' '),
       parts: [...new Set(unbegun.flatMap(([, {parts}]) => parts))].join(' '),
     });
     this.add([crash], '');
