Review case 4: a version that fails on a rare route is completed

Claim: EXPOSURE. A rollout counts as proven by the times of all routes together, so that a version which fails on one route of few requests gets all traffic before its deadline.

Evidence: review/4/run.sh, host processes of the deploy file on loopback with stand-ins from review/lib; no fault but the bad version.

--- a/review/lib/plain.mjs
+++ b/review/lib/plain.mjs
@@ -29,12 +29,12 @@
   });
 }
 
-/** Starts a runner of a version in a zone; `isBad()` true makes it fail half of its requests. */
+/** Starts a runner of a version in a zone; it fails half of the requests for which `isBad(path)` is true. */
 export function addRunner(site, id, version, zone, isBad = () => false) {
   let count = 0;
   const fields = {id, service: SERVICE, zone, version, capacity: 6};
   return site.addRunner(fields, (request, response, _, runner) => {
-    const isFailure = isBad() && ++count % 2 === 0;
+    const isFailure = isBad(request.url) && ++count % 2 === 0;
     setTimeout(() => {
       const status = isFailure ? 500 : 200;
       site.onRunnerAnswer?.(runner, status, request);
@@ -103,9 +103,9 @@
   #isStopped = false;
   #next = 0;
 
-  /** `hosts()` returns the hosts that clients use now. */
-  constructor(site, perS, hosts) {
-    Object.assign(this, {site, hosts});
+  /** `hosts()` returns the hosts that clients use now, `prefixOf(i)` the route of a request. */
+  constructor(site, perS, hosts, prefixOf = () => '/look/') {
+    Object.assign(this, {site, hosts, prefixOf});
     this.done = this.#run(perS);
   }
 
@@ -135,7 +135,7 @@
     this.site.record('sent', {id, host: host.name});
     const answer = await send({
       port: host.callerPort,
-      path: `/look/${id}`,
+      path: `${this.prefixOf(this.#next)}${id}`,
       headers: {
         Host: AUTHORITY,
         'X-Banyanhall-Request-Id': id,
