--- a/review/lib/site.mjs
+++ b/review/lib/site.mjs
@@ -354,9 +354,10 @@
     for (const {child} of site.hosts) child?.kill('SIGKILL');
     process.exit(2);
   }, 118_000);
-  for (const name of ['SIGTERM', 'SIGINT']) {
-    process.once(name, () => {
+  for (const name of ['SIGTERM', 'SIGINT', 'uncaughtException']) {
+    process.once(name, reason => {
       for (const {child} of site.hosts) child?.kill('SIGKILL');
+      console.log(reason.stack ?? reason);
       process.exit(2);
     });
   }
