--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -1,4 +1,4 @@
-// The host that drives a rollout is frozen for 4 s; another one takes over and
+// The host that drives a rollout is frozen for 3.9 s; another one takes over and
 // rolls the version back, which has turned bad meanwhile. Then the first wakes.
 import {bound, CantRun, main, sleep} from '../lib/site.mjs';
 import * as plain from '../lib/plain.mjs';
@@ -6,7 +6,7 @@
 const REQUESTS_PER_S = 100;
 const DURATION_S = 20;
 /** sites/tray-loop.toml: `node_freeze`, for_s = 4.0. */
-const FREEZE_MS = 4000;
+const FREEZE_MS = 3900;
 /** Seconds after the order. */
 const FREEZE_AT_S = 14.2;
 const BAD_FROM_S = 16.8;
