Review case 3: spoiled answers within one entry of the site file

Two of three runners were above the share of 0.6; now three of five spoil one answer in 34 for 4.9 s. The stand-in closes the connection after a control byte, which it left dead before.

--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -3,16 +3,16 @@
 import {main, send, sleep} from '../lib/site.mjs';
 import * as plain from '../lib/plain.mjs';
 
-const REQUESTS_PER_S = 150;
+const REQUESTS_PER_S = 250;
 const ROUTE_TIMEOUT_MS = 1200;
 /** How long clients wait; longer than the route allows. */
 const DEADLINE_MS = 4000;
 /** RULES.md, CONFIG: an answer is due half a second after the route's timeout. */
 const LATE_MS = 500;
-/** sites/tray-loop.toml: `garble` with share 0.6, x = 0.05 and for_s = 6.78 at most. */
-const FAULTY_RUNNERS = 2;
-const SPOILED_SHARE = 0.05;
-const FAULT_MS = 6500;
+/** sites/tray-loop.toml, troubles: `garble`, share = 0.6, x = 0.03, for_s = 5.0; here 3 of 5 runners, 1 answer in 34. */
+const FAULTY_RUNNERS = 3;
+const SPOILED_EVERY = 34;
+const FAULT_MS = 4900;
 const SPOILED = {
   switch: () =>
     'HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: h2c\r\n\r\n',
@@ -36,11 +36,11 @@
   let count = 0;
   let spoiled = 0;
   const kindOf = new Map();
-  for (const i of [1, 2, 3]) {
+  for (const i of [1, 2, 3, 4, 5]) {
     const fields = {id: `r-${i}`, service: plain.SERVICE, zone, version: 'v1'};
     await site.addRunner({...fields, capacity: 6}, (request, response) => {
       const isSpoiled =
-        isFaulty && i <= FAULTY_RUNNERS && ++count % (1 / SPOILED_SHARE) === 0;
+        isFaulty && i <= FAULTY_RUNNERS && ++count % SPOILED_EVERY === 0;
       setTimeout(() => {
         if (isSpoiled) {
           const id = request.headers['x-banyanhall-request-id'];
@@ -48,7 +48,10 @@
           kindOf.set(id, kind);
           site.record('spoiled', {id, kind});
           const signature = response.getHeader('X-Banyanhall-Upstream-Signature');
-          return void response.socket?.write(SPOILED[kind](id, signature));
+          response.socket?.write(SPOILED[kind](id, signature));
+          // What is sent next on this connection would get no answer here.
+          if (kind === 'control') response.socket?.end();
+          return;
         }
         response.writeHead(200, {'Content-Length': 2});
         response.end('ok');
