--- a/packages/trials/src/relay.ts
+++ b/packages/trials/src/relay.ts
@@ -5,10 +5,18 @@
  * new ones are forwarded; `dark` does so and accepts new ones without forwarding
  * them either; `cut` closes the existing connections and rejects new ones; `reset`
  * resets the existing ones and forwards new ones; `one-way` holds back what comes
- * from the target.
+ * from the target; `refuse` resets the existing connections and new ones, and
+ * `refuse-new` only new ones.
  */
 export type RelayState =
-  'open' | 'silent' | 'dark' | 'cut' | 'reset' | 'one-way';
+  | 'open'
+  | 'silent'
+  | 'dark'
+  | 'cut'
+  | 'reset'
+  | 'one-way'
+  | 'refuse'
+  | 'refuse-new';
 
 /** A connection to the relay, with the one to its target. */
 type Pair = readonly [net.Socket, net.Socket];
@@ -28,17 +36,23 @@
   cut: pair => {
     for (const socket of pair) socket.destroy();
   },
-  reset: pair => {
-    for (const socket of pair) reset(socket);
-  },
+  reset: resetPair,
+  refuse: resetPair,
+  'refuse-new': () => undefined,
 };
 
-/** A TCP relay on loopback that simulates network faults. */
+/** A TCP relay on loopback that simulates network faults, of all its connections or of those from one address. */
 export class Relay {
   /** Bytes received from both sides. */
   passedBytes = 0;
+  /** Connections that were made to the relay, forwarded or not. */
+  connections = 0;
   private state: RelayState = 'open';
-  private readonly pairs = new Set<Pair>();
+  /** The states of sources that have one of their own, by ip address. */
+  private readonly stateBySource = new Map<string, RelayState>();
+  private readonly pairs = new Map<Pair, string>();
+  /** The source of each connection to the target, by the local port of that connection. */
+  private readonly sourceByPort = new Map<number, string>();
   /** Connections that stay silent whatever the state. */
   private readonly silenced = new Set<net.Socket>();
 
@@ -49,7 +63,7 @@
 
   /** Starts a relay to a port on loopback. */
   static to(targetPort: number): Promise<Relay> {
-    const server = net.createServer();
+    const server = net.createServer({allowHalfOpen: true});
     return new Promise(resolve => {
       server.listen(0, '127.0.0.1', () => {
         const {port} = server.address() as net.AddressInfo;
@@ -64,34 +78,64 @@
   setState(state: RelayState): void {
     if (state === this.state) return;
     this.state = state;
-    const isSilencing = state === 'silent' || state === 'dark';
-    for (const pair of this.pairs) {
-      ON_STATE[state](pair);
-      if (!isSilencing) continue;
-      this.pairs.delete(pair);
-      for (const socket of pair) this.silenced.add(socket);
-    }
+    this.applyState(state, source => !this.stateBySource.has(source));
+  }
+
+  /** Sets the state of the connections from one ip address; undefined makes them follow `setState` again. */
+  setStateOf(source: string, state: RelayState | undefined): void {
+    if (state === undefined) this.stateBySource.delete(source);
+    else this.stateBySource.set(source, state);
+    this.applyState(state ?? this.state, each => each === source);
+  }
+
+  /** Returns the ip address from which the connection comes that reaches the target from a local port. */
+  sourceOf(port: number): string | undefined {
+    return this.sourceByPort.get(port);
   }
 
   /** Closes all connections and stops listening. */
   close(): void {
+    this.stateBySource.clear();
     this.setState('cut');
     for (const socket of this.silenced) socket.destroy();
     this.server.close();
   }
 
+  private applyState(
+    state: RelayState,
+    isMeant: (source: string) => boolean,
+  ): void {
+    const isSilencing = state === 'silent' || state === 'dark';
+    for (const [pair, source] of this.pairs) {
+      if (!isMeant(source)) continue;
+      ON_STATE[state](pair);
+      if (!isSilencing) continue;
+      this.pairs.delete(pair);
+      for (const socket of pair) this.silenced.add(socket);
+    }
+  }
+
   /** Forwards a new connection also in the state `silent`, as a network device does that has lost the state of existing connections only. */
   private accept(inbound: net.Socket, targetPort: number): void {
-    if (this.state === 'cut') return void inbound.destroy();
-    if (this.state === 'dark') {
+    this.connections++;
+    const source = inbound.remoteAddress ?? '';
+    const state = this.stateBySource.get(source) ?? this.state;
+    if (state === 'cut') return void inbound.destroy();
+    if (state === 'refuse' || state === 'refuse-new') return reset(inbound);
+    if (state === 'dark') {
       this.silenced.add(inbound);
       inbound.on('error', () => undefined);
       inbound.once('close', () => this.silenced.delete(inbound));
       return;
     }
-    const outbound = net.connect(targetPort, '127.0.0.1');
+    const outbound = net.connect({
+      ...{port: targetPort, host: '127.0.0.1', allowHalfOpen: true},
+    });
+    outbound.once('connect', () => {
+      this.sourceByPort.set(outbound.localPort ?? 0, source);
+    });
     const pair: Pair = [inbound, outbound];
-    this.pairs.add(pair);
+    this.pairs.set(pair, source);
     const forget = () => {
       this.pairs.delete(pair);
       for (const socket of pair) this.silenced.delete(socket);
@@ -115,7 +159,7 @@
       });
     }
     inbound.pipe(outbound);
-    if (this.state !== 'one-way') outbound.pipe(inbound);
+    if (state !== 'one-way') outbound.pipe(inbound);
     else outbound.pause();
   }
 }
@@ -126,6 +170,10 @@
   else socket.resetAndDestroy();
 }
 
+function resetPair(pair: Pair): void {
+  for (const socket of pair) reset(socket);
+}
+
 function silencePair([inbound, outbound]: Pair): void {
   for (const socket of [inbound, outbound]) {
     socket.pause();
