DRAIN: a statement of leaving binds at once

What callers saw: requests reached backend servers after an answer had said that the server leaves, and those that may run once were cut at its end.

Cause: Server-Leaving was read nowhere; only the list of servers ended work, and it lags, or does not reach a host that the store turns away.

Change: the header is a second kind of statement, one that nothing lifts within a start of a server. It takes the start out of the directory, so that all ways to a server end that need an entry there. What runs there goes on.

--- a/packages/decisions/src/statement.test.ts
+++ b/packages/decisions/src/statement.test.ts
@@ -52,3 +52,27 @@
   );
   fc.assert(property, {seed: SEED, numRuns: 500});
 });
+
+// Guards against a server that leaves being used again, since an answer or a host says nothing of it (DRAIN).
+test.test('nothing lifts a statement of leaving', () => {
+  const leaving = fc.record({
+    value: fc.option(fc.constant(1), {nil: undefined}),
+    revision: fc.integer({min: 0, max: 4}),
+    isAnswer: fc.boolean(),
+  });
+  const property = fc.property(fc.array(leaving, {maxLength: 8}), all => {
+    const apply = (
+      known: statements.Statement,
+      {value, revision, isAnswer}: (typeof all)[number],
+    ) =>
+      isAnswer
+        ? afterAnswer('leaving', known, value, revision)
+        : merge('leaving', known, {value, revision});
+    const wasStated = all.some(({value}) => value !== undefined);
+    for (const events of [all, [...all].reverse()]) {
+      const {value} = events.reduce(apply, NO_STATEMENT);
+      assert.equal(value, wasStated ? 1 : undefined);
+    }
+  });
+  fc.assert(property, {seed: SEED, numRuns: 500});
+});
--- a/packages/decisions/src/statement.ts
+++ b/packages/decisions/src/statement.ts
@@ -2,7 +2,7 @@
 // the answers that different hosts receive.
 
 /** What a backend server can state about itself. */
-export type StatementKind = 'limit';
+export type StatementKind = 'limit' | 'leaving';
 
 /** A stated value; undefined when the backend server states nothing of that kind. */
 export type StatedValue = number | undefined;
@@ -22,6 +22,15 @@
   Record<StatementKind, (a: StatedValue, b: StatedValue) => number>
 > = {
   limit: (a = Infinity, b = Infinity) => (a === b ? 0 : a - b),
+  // States that it leaves, or nothing.
+  leaving: (a, b) => Number(a === undefined) - Number(b === undefined),
+};
+
+/** Whether a statement can be lifted or weakened by a later one. */
+const IS_REVOCABLE: Readonly<Record<StatementKind, boolean>> = {
+  limit: true,
+  // A backend server that leaves does not come back before it starts again.
+  leaving: false,
 };
 
 /**
@@ -38,7 +47,7 @@
   const order = COMPARE[kind](value, known.value);
   if (order === 0) return known;
   const mayBeOlder = known.revision !== sentRevision;
-  if (mayBeOlder && order > 0) return known;
+  if (order > 0 && (mayBeOlder || !IS_REVOCABLE[kind])) return known;
   return {value, revision: known.revision + 1};
 }
 
@@ -48,6 +57,10 @@
   known: Statement,
   received: Statement,
 ): Statement {
+  if (!IS_REVOCABLE[kind]) {
+    const order = COMPARE[kind](received.value, known.value);
+    if (order !== 0) return order < 0 ? received : known;
+  }
   if (received.revision !== known.revision) {
     return received.revision > known.revision ? received : known;
   }
--- a/packages/fleet/src/statements.test.ts
+++ b/packages/fleet/src/statements.test.ts
@@ -120,7 +120,7 @@
 test.test('the number of servers on record is bounded', () => {
   const {statements} = create();
   for (let i = 0; i < statementsModule.MAX_SERVERS + 50; i++) {
-    statements.onAnswer('r1', `i-${i}@1`, {limit: 0}, {limit: 1});
+    statements.onAnswer('r1', `i-${i}@1`, {limit: 0, leaving: 0}, {limit: 1});
   }
   statements.flush();
   assert.equal(statements.count('limit'), statementsModule.MAX_SERVERS);
@@ -157,7 +157,7 @@
       return [host, statements] as const;
     }),
   );
-  all.get('h0')?.onAnswer('r1', SERVER, {limit: 0}, {limit: 5});
+  all.get('h0')?.onAnswer('r1', SERVER, {limit: 0, leaving: 0}, {limit: 5});
   for (let next = queue.shift(); next; next = queue.shift()) {
     all.get(next.to)?.onNews(next.from, next.sent.statements);
   }
@@ -174,3 +174,61 @@
     assert.ok(messages <= 9 * size, `${messages} among ${size}`);
   }
 });
+
+const RUNS = 300;
+
+// Guards against a host that goes on sending to a server that leaves, as news was lost or came late (DRAIN).
+test.test('a statement of leaving reaches all hosts and stays', () => {
+  for (let seed = 1; seed <= RUNS; seed++) {
+    const random = decisions.random.seeded(seed);
+    const clock = new decisions.clock.FakeClock(0);
+    const names = ['h1', 'h2', 'h3', 'h4', 'h5'];
+    const queue: (Sent & {readonly from: string})[] = [];
+    const create = (host: string) =>
+      new statementsModule.Statements({
+        ...{host, clock},
+        router: {
+          send: (
+            to: string,
+            {body}: {body: peers.messages.MessageBodies['news']},
+          ) => {
+            // A part of the messages is lost, others overtake.
+            if (random() < 0.2) return;
+            const at = Math.floor(random() * (queue.length + 1));
+            queue.splice(at, 0, {from: host, to, statements: body.statements});
+          },
+        } as never,
+        targets: except => names.filter(n => n !== except && n !== host),
+        keepersOf: () => ['h3'],
+        isInUse: () => true,
+        onChange: () => undefined,
+      });
+    const hosts = new Map(names.map(name => [name, create(name)]));
+    const stated = new Set<string>();
+    for (let step = 0; step < 40; step++) {
+      clock.advance(50 + random() * 200);
+      const name = names[Math.floor(random() * names.length)];
+      const host = hosts.get(name) as statementsModule.Statements;
+      if (step > 5 && random() < 0.1) {
+        hosts.set(name, create(name));
+        stated.delete(name);
+        for (const other of hosts.values()) other.onJoin(name, names.length);
+      } else {
+        // A server answers from the fifth step on that it leaves; older answers come late.
+        const isLate = random() < 0.3;
+        const leaving = step >= 5 && !isLate ? 1 : undefined;
+        const sent = isLate ? {limit: 0, leaving: 0} : host.revisionsOf(SERVER);
+        host.onAnswer('r1', SERVER, sent, {leaving});
+        if (leaving) stated.add(name);
+      }
+      while (queue.length > 0 && random() < 0.7) {
+        const next = queue.shift() as Sent & {readonly from: string};
+        hosts.get(next.to)?.onNews(next.from, next.statements);
+      }
+      for (const each of stated) {
+        const value = hosts.get(each)?.valueOf(SERVER, 'leaving');
+        assert.equal(value, 1, `seed ${seed}: ${each} goes on`);
+      }
+    }
+  }
+});
--- a/packages/fleet/src/statements.ts
+++ b/packages/fleet/src/statements.ts
@@ -16,11 +16,11 @@
 type Kind = decisions.statement.StatementKind;
 
 /** All kinds of statements. */
-export const KINDS: readonly Kind[] = ['limit'];
+export const KINDS: readonly Kind[] = ['limit', 'leaving'];
 
 /** The values in one answer by kind; undefined for a kind that the answer does not state. */
 export type StatedValues = Readonly<
-  Record<Kind, decisions.statement.StatedValue>
+  Partial<Record<Kind, decisions.statement.StatedValue>>
 >;
 
 /** The revisions of the statements that were known when a request was sent. */
@@ -114,7 +114,8 @@
   /** Returns the revisions known now, to be passed to `onAnswer` with the answer to a request that is sent now. */
   revisionsOf(server: string): SentRevisions {
     const byKind = this.records.get(server)?.byKind;
-    return {limit: byKind?.get('limit')?.revision ?? 0};
+    const revisionOf = (kind: Kind) => byKind?.get(kind)?.revision ?? 0;
+    return {limit: revisionOf('limit'), leaving: revisionOf('leaving')};
   }
 
   /** Handles what the answer to a request states. */
--- a/packages/forwarding/src/statements.test.ts
+++ b/packages/forwarding/src/statements.test.ts
@@ -3,7 +3,7 @@
 
 import * as statements from './statements.js';
 
-const NAMES = {limit: 'x-limit'};
+const NAMES = {limit: 'x-limit', leaving: 'x-leaving'};
 
 /** Reads a limit; `known` is the one stated before. */
 function limitIn(text: string | undefined, known?: number) {
@@ -40,3 +40,21 @@
   assert.ok(limit >= 1e6 && Number.isFinite(limit));
   assert.deepEqual(limitIn('9'.repeat(400)), {limit: 1, isReadable: false});
 });
+
+// Guards against a statement of leaving that is missed, or read into a value that says otherwise (DRAIN).
+test.test('values that state that a server leaves', () => {
+  const read = (text: string) => {
+    const {leaving, unreadable} = statements.read({'x-leaving': text}, NAMES);
+    return {leaving, isReadable: unreadable.length === 0};
+  };
+  for (const text of ['1', 'true', 'TRUE', ' 1 ', '1, 1', '0, 1']) {
+    assert.deepEqual(read(text), {leaving: 1, isReadable: true}, text);
+  }
+  for (const text of ['0', 'false', '', '0, 0']) {
+    assert.deepEqual(read(text), {leaving: undefined, isReadable: true}, text);
+  }
+  for (const text of ['soon', '-1', '2', 'constructor', '0, x']) {
+    assert.deepEqual(read(text), {leaving: undefined, isReadable: false}, text);
+  }
+  assert.deepEqual(read('x, 1'), {leaving: 1, isReadable: false});
+});
--- a/packages/forwarding/src/statements.ts
+++ b/packages/forwarding/src/statements.ts
@@ -4,17 +4,26 @@
 const MAX_LIMIT_PER_S = 1_000_000;
 /** The limit of a backend server that states one which can't be read, as long as it has stated no other. */
 const UNREADABLE_LIMIT_PER_S = 1;
+/** The values by which a backend server states that it leaves, and those by which it does not. */
+const LEAVING_VALUES: ReadonlyMap<string, boolean> = new Map([
+  ...(['1', 'true'] as const).map(value => [value, true] as const),
+  ...(['0', 'false', ''] as const).map(value => [value, false] as const),
+]);
 const DECIMAL = /^\d{1,20}(\.\d{1,20})?$/;
 
 /** The names of the headers by which backend servers state something about themselves, in lower case. */
 export interface StatementHeaders {
   /** The requests a second that the backend server takes from all hosts together. */
   readonly limit: string;
+  /** That the backend server leaves. */
+  readonly leaving: string;
 }
 
 /** What one answer states about its backend server; undefined where it states nothing. */
 export interface Statements {
   readonly limit: number | undefined;
+  /** 1 if the backend server leaves. */
+  readonly leaving: number | undefined;
   /** The headers that could not be read, as `name: value`. */
   readonly unreadable: readonly string[];
 }
@@ -37,6 +46,7 @@
   >
 > = {
   limit: readLimit,
+  leaving: readLeaving,
 };
 
 /** Reads what an answer states about its backend server. */
@@ -54,7 +64,8 @@
     if (!isReadable) unreadable.push(`${names[kind]}: ${text}`);
     return value;
   };
-  return {limit: valueOf('limit'), unreadable};
+  const limit = valueOf('limit');
+  return {limit, leaving: valueOf('leaving'), unreadable};
 }
 
 /** Returns the lowest of the values that can be read: Node.js joins repeated headers with commas. Zero is a limit. */
@@ -67,3 +78,14 @@
   }
   return {value: Math.min(...values, MAX_LIMIT_PER_S), isReadable};
 }
+
+/** Returns 1 if any of the values says that the backend server leaves; one that can't be read does not. */
+function readLeaving(text: string): Reading {
+  const values = text
+    .split(',')
+    .map(part => LEAVING_VALUES.get(part.trim().toLowerCase()));
+  return {
+    value: values.includes(true) ? 1 : undefined,
+    isReadable: !values.includes(undefined),
+  };
+}
--- a/packages/forwarding/src/upstream.test.ts
+++ b/packages/forwarding/src/upstream.test.ts
@@ -15,7 +15,7 @@
   signature: 'x-signature',
   notRun: 'x-not-run',
   load: 'x-load',
-  statements: {limit: 'x-limit'},
+  statements: {limit: 'x-limit', leaving: 'x-leaving'},
   lastEventId: 'last-event-id',
   reserved: [],
 };
--- a/packages/forwarding/src/upstream.ts
+++ b/packages/forwarding/src/upstream.ts
@@ -312,7 +312,8 @@
     if (encoding !== undefined && encoding !== 'identity') {
       request.destroy();
       const detail = `response has content encoding ${encoding}, expected identity`;
-      return this.failure('broken-answer', 'may-have-run', detail);
+      const failure = this.failure('broken-answer', 'may-have-run', detail);
+      return {...failure, statements};
     }
     const cancel = () => request.destroy();
     const {headers} = response;
--- a/packages/gateway/src/directory.test.ts
+++ b/packages/gateway/src/directory.test.ts
@@ -235,3 +235,34 @@
   t.mock.timers.tick(EXPIRED_MS);
   assert.deepEqual(names(directory), ['b', 'a']);
 });
+
+// Guards against a server that is used again as its entry, or a copy of it, does not say that it leaves (DRAIN).
+test.test('a server that stated that it leaves stays out', () => {
+  const directory = directoryWith(entry('a', {startedAtMs: 1}), entry('b'));
+  directory.onLeaving('a@1');
+  assert.deepEqual(names(directory), ['b']);
+  directory.onServerEntry('a', entry('a', {startedAtMs: 1, capacity: 5}));
+  const all = new Map([['a', entry('a', {startedAtMs: 1})]]);
+  directory.replaceServerEntries(all, true);
+  assert.ok(!names(directory).includes('a'));
+  directory.onServerEntry('a', entry('a', {startedAtMs: 2}));
+  assert.ok(names(directory).includes('a'));
+});
+
+test.test('a statement may come before the entry', () => {
+  const directory = directoryWith(entry('b'));
+  directory.onLeaving('a@1');
+  directory.onServerEntry('a', entry('a', {startedAtMs: 1}));
+  assert.deepEqual(names(directory), ['b']);
+});
+
+// Guards against a server whose entry states no start that is never used again.
+test.test('without a start a server is used again once it was gone', () => {
+  const directory = directoryWith(entry('a'), entry('b'));
+  directory.onLeaving('a@0');
+  directory.onServerEntry('a', entry('a', {capacity: 5}));
+  assert.deepEqual(names(directory), ['b']);
+  directory.onServerEntry('a', undefined);
+  directory.onServerEntry('a', entry('a'));
+  assert.deepEqual([...names(directory)].sort(), ['a', 'b']);
+});
--- a/packages/gateway/src/directory.ts
+++ b/packages/gateway/src/directory.ts
@@ -46,6 +46,8 @@
 interface Departure {
   /** True if it said itself that it leaves; it does not come back then. */
   readonly isFinal: boolean;
+  /** True if it said so in an answer. */
+  readonly isStated: boolean;
 }
 
 /** The paces assumed before any measurement; below typical values, so that measurements correct them upwards. */
@@ -175,6 +177,7 @@
   onServerEntry(id: string, entry: ServerEntry | undefined): void {
     clearTimeout(this.heldTimers.get(id));
     this.heldTimers.delete(id);
+    if (!entry) this.forgetStated(id);
     if (entry?.isDraining) this.recordDeparture(entry);
     else if (entry && this.hasDeparted(entry)) return;
     clearTimeout(this.removalTimers.get(id));
@@ -203,6 +206,20 @@
     this.rebuild();
   }
 
+  /** Stops using a start of a backend server that has stated in an answer that it leaves, whatever its entry says. */
+  onLeaving(start: string): void {
+    this.addDeparture(start, {isFinal: true, isStated: true});
+    const entry = this.entryOfStart(start);
+    if (!entry) return;
+    const {id} = entry;
+    clearTimeout(this.removalTimers.get(id));
+    this.removalTimers.delete(id);
+    this.entries.delete(id);
+    const reason = 'stated that it leaves';
+    this.options.log.event('server-left', '', {server: id, reason});
+    this.rebuild();
+  }
+
   /** Applies several entries and rebuilds the pools once. */
   onServerEntries(changes: ReadonlyMap<string, ServerEntry | undefined>): void {
     this.isBatching = true;
@@ -262,13 +279,26 @@
   }
 
   private recordDeparture(entry: ServerEntry): void {
-    const start = startOf(entry);
+    this.addDeparture(startOf(entry), {
+      // Without the time of the start, a later one has the same name.
+      isFinal: entry.isDraining && entry.startedAtMs > 0,
+      isStated: false,
+    });
+  }
+
+  /** Allows a later start to have the same name, as it has if entries don't state the time of the start. */
+  private forgetStated(id: string): void {
+    const start = startOf({id, startedAtMs: 0});
+    if (!this.departures.get(start)?.isStated) return;
+    this.departures.set(start, {isFinal: false, isStated: false});
+  }
+
+  private addDeparture(start: string, departure: Departure): void {
     const known = this.departures.get(start);
     this.departures.delete(start);
     this.departures.set(start, {
-      // Without the time of the start, a later one has the same name.
-      isFinal: entry.isDraining && entry.startedAtMs > 0,
-      ...(known?.isFinal && {isFinal: true}),
+      isFinal: departure.isFinal || (known?.isFinal ?? false),
+      isStated: departure.isStated || (known?.isStated ?? false),
     });
     for (const oldest of this.departures.keys()) {
       if (this.departures.size <= MAX_DEPARTURES) break;
@@ -392,7 +422,10 @@
 }
 
 /** Returns a name for the start of a backend server that the entry is about; a server may start again with the same id. */
-export function startOf({id, startedAtMs}: ServerEntry): string {
+export function startOf({
+  id,
+  startedAtMs,
+}: Pick<ServerEntry, 'id' | 'startedAtMs'>): string {
   return `${id}@${startedAtMs}`;
 }
 
--- a/packages/gateway/src/host.ts
+++ b/packages/gateway/src/host.ts
@@ -111,6 +111,14 @@
   readonly onListenerEnded?: (reason: string) => void;
 }
 
+/** What a host does with a change of each kind of statement. */
+type StatementHandlers = Readonly<
+  Record<
+    decisions.statement.StatementKind,
+    (change: statementsModule.StatementChange) => void
+  >
+>;
+
 interface Part {
   start(): void;
   stop(): void;
@@ -151,6 +159,10 @@
   private stopped: Promise<void> | undefined;
   private configurationSource = '';
   private isReadyLogged = false;
+  private readonly statementHandlers: StatementHandlers = {
+    limit: change => this.onLimit(change),
+    leaving: change => this.onLeaving(change),
+  };
 
   constructor(private readonly options: HostOptions) {
     const {settings, log, dialect, metrics} = options;
@@ -695,8 +707,24 @@
     return keeper === undefined ? [] : [keeper];
   }
 
-  /** Applies and logs a change of what a backend server states. */
+  /** Applies and logs a change of what a backend server states, by kind. */
   private onStatement(change: statementsModule.StatementChange): void {
+    this.statementHandlers[change.kind](change);
+  }
+
+  /** Stops using a backend server that leaves. */
+  private onLeaving(change: statementsModule.StatementChange): void {
+    const {server: start, after, from, requestId} = change;
+    if (after === undefined) return;
+    const {log, metrics} = this.options;
+    const server = directories.idOfStart(start);
+    log.event('server-leaving', requestId, {server, from: from || 'answer'});
+    metrics.leavingServers.inc();
+    this.directory.onLeaving(start);
+  }
+
+  /** Applies and logs a change of the limit of a backend server. */
+  private onLimit(change: statementsModule.StatementChange): void {
     const {server: start, before, after, from, requestId, ageMs} = change;
     const {log, metrics} = this.options;
     const server = directories.idOfStart(start);
--- a/packages/gateway/src/logs.ts
+++ b/packages/gateway/src/logs.ts
@@ -18,6 +18,7 @@
   | 'server-left'
   | 'server-health'
   | 'server-limit'
+  | 'server-leaving'
   | 'host'
   | 'rollout'
   | 'refused'
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -66,6 +66,11 @@
     labelNames: ['server'],
     registers: [this.registry],
   });
+  readonly leavingServers = this.counter(
+    'banyanhall_leaving_servers_total',
+    'Starts of backend servers that stated that they leave.',
+    [],
+  );
   private readonly gauges = new Map<string, prom.Gauge>();
 
   /** Sets the gauge `banyanhall_<name>`, creating it with the text `help` on first use. */
--- a/packages/gateway/src/request.test.ts
+++ b/packages/gateway/src/request.test.ts
@@ -16,7 +16,7 @@
     signature: 'x-signature',
     notRun: 'x-not-run',
     load: 'x-load',
-    statements: {limit: 'x-limit'},
+    statements: {limit: 'x-limit', leaving: 'x-leaving'},
     lastEventId: 'last-event-id',
     reserved: ['x-reserved'],
   },
