--- a/packages/forwarding/src/connections.ts
+++ b/packages/forwarding/src/connections.ts
@@ -1,35 +1,118 @@
 import * as http from 'node:http';
+import type * as net from 'node:net';
 import type * as stream from 'node:stream';
 
+import type * as paths from './paths.js';
+
+/** A connection through another host, which has no timer of its own for idle times. */
+interface Carried extends stream.Duplex {
+  readonly carrier: string;
+
+  startIdle(timeoutMs: number): void;
+  stopIdle(): void;
+}
+
+/** Opens connections over the paths to backend servers; without paths, directly. */
+class PathAgent extends http.Agent {
+  constructor(
+    options: http.AgentOptions,
+    protected readonly paths?: paths.Paths,
+  ) {
+    super(options);
+  }
+
+  override createConnection(
+    options: http.ClientRequestArgs,
+    callback?: (error: Error | null, connection: stream.Duplex) => void,
+  ): stream.Duplex | null | undefined {
+    if (!this.paths || !callback) {
+      return super.createConnection(options, callback);
+    }
+    const {host, port} = options;
+    const target = options as net.TcpNetConnectOpts;
+    this.paths.dial(`${host}:${port}`, target, (error, connection) =>
+      callback(error, connection as stream.Duplex),
+    );
+    return undefined;
+  }
+}
+
 /**
  * Keeps idle connections for further requests. One on which anything arrives
  * while it is idle is closed: a backend server that writes an answer twice
  * would have it taken for the answer to the next request.
  */
-export class Connections extends http.Agent {
-  override keepSocketAlive(socket: stream.Duplex): void {
+export class Connections extends PathAgent {
+  /** The backend servers of the connections that are kept idle. */
+  private readonly idle = new Map<stream.Duplex, string>();
+  private readonly followed = new WeakSet<stream.Duplex>();
+
+  constructor(
+    private readonly idleTimeoutMs: number,
+    options: http.AgentOptions,
+    ways?: paths.Paths,
+  ) {
+    super({...options, keepAlive: true, timeout: idleTimeoutMs}, ways);
+  }
+
+  override keepSocketAlive(socket: stream.Duplex): boolean {
+    const address = addressOf(socket);
+    if (this.paths && this.paths.isCut(address) !== isCarried(socket)) {
+      return false;
+    }
     // The base class returns whether to keep the connection, unlike its declaration.
     const isKept = super.keepSocketAlive(socket) as unknown as boolean;
-    if (isKept) socket.on('data', destroyConnection);
-    return isKept as unknown as void;
+    if (!isKept) return false;
+    socket.on('data', destroyConnection);
+    this.idle.set(socket, address);
+    if (!this.followed.has(socket)) {
+      this.followed.add(socket);
+      socket.once('close', () => this.idle.delete(socket));
+    }
+    if (isCarried(socket)) socket.startIdle(this.idleTimeoutMs);
+    return true;
   }
 
   override reuseSocket(
     socket: stream.Duplex,
     request: http.ClientRequest,
   ): void {
+    this.idle.delete(socket);
+    if (isCarried(socket)) socket.stopIdle();
     socket.removeListener('data', destroyConnection);
     super.reuseSocket(socket, request);
   }
+
+  /** Closes the idle connections for which `isMeant` holds, by the backend server that they lead to. */
+  closeIdle(
+    isMeant: (socket: stream.Duplex, address: string) => boolean,
+  ): void {
+    for (const [socket, address] of this.idle) {
+      if (isMeant(socket, address)) socket.destroy();
+    }
+  }
 }
 
 /** Opens a connection for each request and closes it afterwards. */
-export class SingleUseConnections extends http.Agent {
+export class SingleUseConnections extends PathAgent {
   override keepSocketAlive(): void {
     return false as unknown as void;
   }
 }
 
+/** True if a connection is one of another host. */
+export function isCarried(socket: stream.Duplex): socket is Carried {
+  return 'startIdle' in socket;
+}
+
+/** The backend server, as ip:port, that a connection leads to. */
+export function addressOf(socket: stream.Duplex): string {
+  const {remoteAddress, remotePort} = socket as net.Socket;
+  return isCarried(socket)
+    ? String(remoteAddress)
+    : `${remoteAddress}:${remotePort}`;
+}
+
 function destroyConnection(this: stream.Duplex): void {
   this.destroy();
 }
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -1,6 +1,9 @@
 export * as buffers from './buffers.js';
+export * as carriers from './carriers.js';
 export * as clientrequest from './clientrequest.js';
 export * as events from './events.js';
 export * as headers from './headers.js';
+export * as paths from './paths.js';
+export * as probe from './probe.js';
 export * as statements from './statements.js';
 export * as upstream from './upstream.js';
--- a/packages/forwarding/src/upstream.ts
+++ b/packages/forwarding/src/upstream.ts
@@ -6,6 +6,7 @@
 import type * as buffers from './buffers.js';
 import * as connections from './connections.js';
 import * as headerNames from './headers.js';
+import type * as paths from './paths.js';
 import * as statementReaders from './statements.js';
 
 /** Far above the network delay to a backend server, which is a few milliseconds. */
@@ -57,8 +58,10 @@
   readonly isRepeat: boolean;
   /** What the backend server is known to state; holds if its answer can't be read. */
   readonly known?: statementReaders.KnownStatements;
-  /** Called when the connection is established: from then on the backend server may run the request. */
-  readonly onConnected?: () => void;
+  /** Called when the connection is established, by way of another host if `isCarried`: from then on the backend server may run the request. */
+  readonly onConnected?: (isCarried: boolean) => void;
+  /** Called while the request is in flight if this host's own link, over which it was sent, is found to be cut. */
+  readonly onCut?: () => void;
 }
 
 /** The running requests, waiting requests and slots that a response reports. */
@@ -120,19 +123,27 @@
  * established, or if the backend server's own response says so.
  */
 export class Upstream {
-  private readonly kept = new connections.Connections({
-    keepAlive: true,
-    maxFreeSockets: MAX_IDLE_CONNECTIONS,
-    timeout: IDLE_TIMEOUT_MS,
-    scheduling: 'lifo',
-  });
+  private readonly kept: connections.Connections;
   /** For repeats at the same backend server: its answer to the attempt before has the same id, and may come twice. */
-  private readonly singleUse = new connections.SingleUseConnections({
-    keepAlive: true,
-  });
+  private readonly singleUse: connections.SingleUseConnections;
   private openedCount = 0;
 
-  constructor(private readonly names: headerNames.HeaderNames) {}
+  /** Without `ways`, connections are those of this host only. */
+  constructor(
+    private readonly names: headerNames.HeaderNames,
+    private readonly ways?: paths.Paths,
+  ) {
+    const keptOptions: http.AgentOptions = {
+      maxFreeSockets: MAX_IDLE_CONNECTIONS,
+      scheduling: 'lifo',
+    };
+    this.kept = new connections.Connections(
+      ...([IDLE_TIMEOUT_MS, keptOptions, ways] as const),
+    );
+    this.singleUse = new connections.SingleUseConnections(
+      ...([{keepAlive: true}, ways] as const),
+    );
+  }
 
   /** The number of connections opened since the start. */
   get connectionsOpened(): number {
@@ -165,7 +176,19 @@
       const onSocketError = () => {
         isReset = true;
       };
-      const cancel = () => request.destroy();
+      let hasResponse = false;
+      const cancel = () => {
+        const {socket} = request;
+        // A reset discards what is not sent yet; a link that was cut would deliver it when it is restored.
+        if (
+          !hasResponse &&
+          isConnected &&
+          socket &&
+          'resetAndDestroy' in socket
+        )
+          socket.resetAndDestroy();
+        request.destroy();
+      };
       const timer = setTimeout(() => {
         if (isConnected) return;
         isTimedOut = true;
@@ -206,10 +229,15 @@
         });
         const onConnected = () => {
           isConnected = true;
-          outbound.onConnected?.();
+          const isCarried = connections.isCarried(socket);
+          outbound.onConnected?.(isCarried);
+          if (!this.ways || isCarried) return;
+          const onCut = () => outbound.onCut?.();
+          const unwatch = this.ways.watch(outbound.address, socket, onCut);
+          request.once('close', unwatch);
         };
+        if (!request.reusedSocket) this.openedCount++;
         if (!socket.connecting) return onConnected();
-        this.openedCount++;
         socket.once('connect', onConnected);
       });
       let interimResponses = 0;
@@ -227,6 +255,7 @@
       };
       const endings: Endings = {
         response: response => {
+          hasResponse = true;
           response.on('close', () =>
             signal.removeEventListener('abort', cancel),
           );
@@ -265,6 +294,18 @@
     });
   }
 
+  /** Closes the idle connections to a backend server, whose path has changed. */
+  closeIdle(address: string): void {
+    this.kept.closeIdle((_, idleAddress) => idleAddress === address);
+  }
+
+  /** Closes the idle connections by way of other hosts, except through those of `carriers`. */
+  closeIdleExcept(carriers: ReadonlySet<string>): void {
+    this.kept.closeIdle(
+      socket => connections.isCarried(socket) && !carriers.has(socket.carrier),
+    );
+  }
+
   /** Closes the connection pool. */
   close(): void {
     this.kept.destroy();
--- a/packages/gateway/src/directory.ts
+++ b/packages/gateway/src/directory.ts
@@ -131,6 +131,11 @@
     return this.entries.get(id);
   }
 
+  /** The entry of the usable backend server at `address` (ip:port). */
+  entryAt(address: string): ServerEntry | undefined {
+    return [...this.entries.values()].find(each => each.address === address);
+  }
+
   /** The entry of a usable backend server by the name of its current start, from `startOf`. */
   entryOfStart(start: string): ServerEntry | undefined {
     const entry = this.entries.get(idOfStart(start));
--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -13,7 +13,6 @@
 import * as directories from './directory.js';
 import type * as logs from './logs.js';
 import type * as metrics from './metrics.js';
-import * as crashprobes from './crashprobe.js';
 import * as requests from './request.js';
 import type * as rollouts from './rollouts.js';
 import * as shutdowns from './shutdown.js';
@@ -54,6 +53,7 @@
   readonly dialect: requests.Dialect;
   readonly directory: directories.Directory;
   readonly upstream: forwarding.upstream.Upstream;
+  readonly paths: forwarding.paths.Paths;
   readonly slots: slotsModule.Slots;
   readonly crashes: crashesModule.Crashes;
   readonly statements: statementsModule.Statements;
@@ -80,12 +80,19 @@
   readonly isSuspect: boolean;
 }
 
+/** How an attempt is sent to its backend server. */
+interface Way {
+  /** True if it is sent by way of another host. */
+  isCarried: boolean;
+}
+
 /** One dispatch of a request to a backend server. */
 interface Attempt extends Placement {
   readonly number: number;
   /** True when an earlier attempt went to the same backend server. */
   readonly isRepeat: boolean;
   readonly sentMs: number;
+  readonly way: Way;
   readonly tracked: crashesModule.TrackedRequest;
   /** Closes the request to the backend server. */
   readonly cut: AbortController;
@@ -338,7 +345,8 @@
     });
     const cut = new AbortController();
     const sentMs = this.nowMs;
-    return {...placement, number, isRepeat, sentMs, tracked, cut};
+    const way = {isCarried: false};
+    return {...placement, number, isRepeat, sentMs, way, tracked, cut};
   }
 
   /** Sends an attempt; resolves to the head of its response, or to its failure. */
@@ -386,7 +394,12 @@
         requestId: received.id,
         isRepeat: attempt.isRepeat,
         known: {limit: limitPerS},
-        onConnected,
+        onConnected: isCarried => {
+          attempt.way.isCarried = isCarried;
+          onConnected?.();
+        },
+        // What hangs on a link that is cut must not keep the slot from others.
+        onCut: () => this.release(attempt),
       },
       AbortSignal.any([signal, attempt.cut.signal]),
     );
@@ -880,11 +893,12 @@
     if (failure.verdict === 'may-have-run') progress.mayHaveRun = true;
     this.reportFailure(accepted, attempt, failure);
     if (signal.aborted) {
-      const isSilent = this.nowMs - attempt.sentMs >= SILENT_MS;
+      const isInDoubt = this.isInDoubt(attempt, failure);
+      const isSilent = !isInDoubt && this.nowMs - attempt.sentMs >= SILENT_MS;
       const kind =
         isSilent && progress.relayedMs === undefined ? 'silent' : 'cancelled';
       this.options.slots.done(attempt.grant.ticketId, {kind});
-      this.addUnansweredTime(accepted, progress, attempt);
+      if (!isInDoubt) this.addUnansweredTime(accepted, progress, attempt);
       return this.endAborted(progress, signal);
     }
     await this.endFailed(accepted, attempt, failure);
@@ -916,18 +930,41 @@
   ): Promise<void> {
     const {slots, crashes, directory} = this.options;
     const {entry, grant} = attempt;
-    this.addSample(accepted, attempt, failure.verdict !== 'not-run', 0, 0);
     const isBroken =
       failure.cause === 'reset' || failure.cause === 'broken-answer';
-    const hasCrashed =
-      isBroken && (await crashprobes.refusesConnections(entry.address));
+    const hasCrashed = isBroken && (await this.hasCrashed(attempt));
+    const isInDoubt = !hasCrashed && this.isInDoubt(attempt, failure);
+    if (!isInDoubt) {
+      this.addSample(accepted, attempt, failure.verdict !== 'not-run', 0, 0);
+    }
     if (hasCrashed) crashes.recordCrash(entry.id);
-    slots.done(grant.ticketId, OUTCOMES[failure.cause](hasCrashed));
+    slots.done(
+      grant.ticketId,
+      isInDoubt ? {kind: 'cancelled'} : OUTCOMES[failure.cause](hasCrashed),
+    );
     if (failure.cause === 'wrong-server') {
       directory.onServerEntry(entry.id, undefined);
     }
   }
 
+  /** Resolves to whether the backend server of an attempt that broke off accepts connections from no host. */
+  private async hasCrashed({entry, way}: Attempt): Promise<boolean> {
+    const {paths} = this.options;
+    if (way.isCarried) return paths.isRefusedByAll(entry.address);
+    return (await paths.examine(entry.address)) === 'refused';
+  }
+
+  /** True if a failure may be due to a link of this host, or of the host that carried the attempt, so that it tells nothing of the backend server. */
+  private isInDoubt(
+    {entry, way}: Attempt,
+    {cause}: forwarding.upstream.AttemptFailure,
+  ): boolean {
+    const {paths} = this.options;
+    if (cause === 'connect-failed') return !paths.isUnreachable(entry.address);
+    if (way.isCarried) return LINK_FAILURES.has(cause);
+    return LINK_FAILURES.has(cause) && paths.isCut(entry.address);
+  }
+
   /** True when a request may be retried now; the retry is then counted in the budget. */
   private tryCountRetry(
     accepted: requests.AcceptedRequest,
@@ -1098,6 +1135,12 @@
   }
 }
 
+/** The failures that a broken link causes as well as a backend server. */
+const LINK_FAILURES: ReadonlySet<forwarding.upstream.FailureCause> = new Set([
+  'reset',
+  'cancelled',
+]);
+
 /** The outcome of an attempt, as reported to the keeper, by the cause of its failure. */
 const OUTCOMES: Readonly<
   Record<
--- a/packages/gateway/src/host.ts
+++ b/packages/gateway/src/host.ts
@@ -36,6 +36,7 @@
 import * as rollouts from './rollouts.js';
 import * as shutdowns from './shutdown.js';
 import * as suspectrejections from './suspectrejections.js';
+import * as tunnelsModule from './tunnels.js';
 
 /** How long callers may cache an address response, in milliseconds. */
 const ADDRESS_TTL_MS = 1000;
@@ -143,6 +144,8 @@
   private readonly allowances: allowancesModule.Allowances;
   private readonly dispatcher: dispatchers.Dispatcher;
   private readonly upstream: forwarding.upstream.Upstream;
+  private readonly paths: forwarding.paths.Paths;
+  private readonly tunnels: tunnelsModule.Tunnels;
   private readonly ingress: http.Server;
   private readonly buffers: forwarding.buffers.BufferAccount;
   private readonly callers: callerconnections.CallerConnections;
@@ -188,6 +191,7 @@
         this.members.onLinkDown(peer);
         this.slots.onLinkDown(peer);
       },
+      onTunnel: (from, address) => this.tunnels.accept(from, address),
     });
     this.router = new routers.Router({
       host,
@@ -224,6 +228,9 @@
       onChange: () => {
         this.slots.onMembers();
         this.feedRelay.onMembers();
+        this.upstream.closeIdleExcept(
+          new Set(serving().map(member => member.host)),
+        );
       },
       onPart: () => this.onPart(),
       onBadLease: ({key, version}) =>
@@ -290,9 +297,21 @@
       records: options.rolloutRecords,
       onRewritten: key => this.onRewritten('rollout', key),
     });
-    this.upstream = new forwarding.upstream.Upstream(dialect.names);
     const {bufferLimitBytes} = settings;
     this.buffers = new forwarding.buffers.BufferAccount(bufferLimitBytes);
+    this.tunnels = new tunnelsModule.Tunnels({
+      ...{host, zone, clock, random, links: this.links, serving, directory},
+      buffers: this.buffers,
+      paths: () => this.paths,
+      isStopping: () => this.shutdown.hasBegun,
+      loopLagMs: () => this.lag.lagMs,
+    });
+    this.paths = new forwarding.paths.Paths({
+      ...{clock, carriers: this.tunnels},
+      onChange: change => this.onPath(change),
+    });
+    const {paths} = this;
+    this.upstream = new forwarding.upstream.Upstream(dialect.names, paths);
     this.shutdown = new shutdowns.Shutdown({
       ...{clock, gracePeriodMs: settings.gracePeriodMs},
       noticeMs: ADDRESS_TTL_MS * ADDRESS_TTL_FACTOR,
@@ -301,7 +320,7 @@
     this.dispatcher = new dispatchers.Dispatcher({
       ...{clock, dialect, directory, upstream, slots, crashes, log, metrics},
       ...{fleetLimits: this.fleetLimits, rollouts: this.rollouts},
-      ...{statements: this.statements, shutdown},
+      ...{statements: this.statements, shutdown, paths},
     });
     router.connect(this.handlers());
     this.ingress = http.createServer(
@@ -435,7 +454,8 @@
     callers.stopListening();
     await shutdown.waitUntil(() => {
       callers.closeIdle();
-      return callers.isEmpty || shutdown.mustExit;
+      const isUnused = callers.isEmpty && this.tunnels.carried === 0;
+      return isUnused || shutdown.mustExit;
     });
     this.logCut(callers.requests);
     log.event('stopped', '', {inFlight: callers.requests.length});
@@ -467,7 +487,8 @@
   /** The parts with timers of their own. */
   private get parts(): readonly Part[] {
     const {keeper, slots, crashes, statements, fleetLimits, feedRelay} = this;
-    return [keeper, slots, crashes, statements, fleetLimits, feedRelay];
+    const {paths} = this;
+    return [keeper, slots, crashes, statements, fleetLimits, feedRelay, paths];
   }
 
   /** Handles a message of another host. An exception would end the link's reading, so that later messages are lost. */
@@ -707,6 +728,17 @@
     return keeper === undefined ? [] : [keeper];
   }
 
+  /** Logs a change of this host's link to a backend server, and closes idle connections of the way that is not used any more. */
+  private onPath(change: forwarding.paths.PathChange): void {
+    const {address, isCut, result, cutMs} = change;
+    const server = this.directory.entryAt(address)?.id ?? '';
+    this.options.log.event(isCut ? 'link-cut' : 'link-restored', '', {
+      ...{server, address, probe: result},
+      cutMs: isCut ? undefined : Math.round(cutMs),
+    });
+    this.upstream.closeIdle(address);
+  }
+
   /** Applies and logs a change of what a backend server states, by kind. */
   private onStatement(change: statementsModule.StatementChange): void {
     this.statementHandlers[change.kind](change);
@@ -771,6 +803,12 @@
     metrics.setGauge('serving_hosts', 'Hosts known to serve.', hosts);
     const {connectionsOpened: connections} = this.upstream;
     metrics.setGauge('backend_connections', 'Connections opened.', connections);
+    const cutHelp = 'Backend servers that only other hosts reach.';
+    metrics.setGauge('cut_links', cutHelp, this.paths.cutCount);
+    const carriedHelp = 'Open tunnels of other hosts.';
+    metrics.setGauge('tunnels_carried', carriedHelp, this.tunnels.carried);
+    const openedHelp = 'Tunnels opened through other hosts since the start.';
+    metrics.setGauge('tunnels_opened', openedHelp, this.tunnels.opened);
     const isWatcher = Number(this.feedRelay.isWatcher);
     metrics.setGauge('store_watcher', 'Reads the store for others.', isWatcher);
     const ageHelp = 'Age of the oldest answer of the store in use, in seconds.';
--- a/packages/gateway/src/logs.ts
+++ b/packages/gateway/src/logs.ts
@@ -19,6 +19,8 @@
   | 'server-health'
   | 'server-limit'
   | 'server-leaving'
+  | 'link-cut'
+  | 'link-restored'
   | 'host'
   | 'rollout'
   | 'refused'
--- a/packages/peers/src/index.ts
+++ b/packages/peers/src/index.ts
@@ -1,2 +1,3 @@
 export * as links from './links.js';
 export * as messages from './messages.js';
+export * as tunnels from './tunnels.js';
--- a/packages/peers/src/links.ts
+++ b/packages/peers/src/links.ts
@@ -3,6 +3,7 @@
 import * as grpc from '@grpc/grpc-js';
 
 import * as messages from './messages.js';
+import * as tunnels from './tunnels.js';
 
 const METHOD_PATH = '/banyanhall.peer.Peer/Link';
 /** The most messages queued for one host in a turn of the event loop; a further one is discarded, and the link is dropped. */
@@ -23,6 +24,7 @@
     responseSerialize: messages.encode,
     responseDeserialize: messages.decode,
   },
+  tunnel: tunnels.METHOD,
 };
 
 /** Certificates and the private key, in PEM form, for mutual TLS between hosts. */
@@ -44,6 +46,8 @@
   readonly onMessage: (from: string, message: messages.Message) => void;
   /** Called when the current link to a host breaks or is dropped; messages in flight may be lost. */
   readonly onLinkDown: (peer: string) => void;
+  /** Connects a tunnel of another host; without this function all are refused. */
+  readonly onTunnel?: tunnels.TunnelAcceptor;
 }
 
 /** Messages and bytes transferred since the start; an item is one message of a batch. */
@@ -70,6 +74,12 @@
   readonly client?: grpc.Client;
 }
 
+/** A connection to another host for tunnels through it. */
+interface TunnelClient {
+  readonly address: string;
+  readonly client: grpc.Client;
+}
+
 /**
  * The links of a host to all other hosts, opened when first needed. Messages
  * queued in one turn of the event loop leave as one batch. Messages are not
@@ -81,6 +91,8 @@
   private readonly links = new Map<string, Link>();
   private readonly outboxes = new Map<string, messages.Message[]>();
   private readonly addresses = new Map<string, string>();
+  /** Connections for tunnels, so that their bytes do not hold up messages; by host. */
+  private readonly tunnelClients = new Map<string, TunnelClient>();
   private isFlushScheduled = false;
   private isBound = false;
   private counts = {sentItems: 0, sentBytes: 0, receivedItems: 0};
@@ -141,8 +153,26 @@
     this.options.onLinkDown(host);
   }
 
+  /** Opens a tunnel to the backend server at `target` (IP:PORT) through the host at `address`. */
+  openTunnel(host: string, address: string, target: string): tunnels.Tunnel {
+    const known = this.tunnelClients.get(host);
+    if (known && known.address !== address) this.dropTunnels(host);
+    const {client} = this.tunnelClients.get(host) ?? {
+      client: this.createClient(address),
+    };
+    this.tunnelClients.set(host, {address, client});
+    return tunnels.open(client, this.credentials(), host, target);
+  }
+
+  /** Closes the connection for tunnels through a host, with those that are open. */
+  dropTunnels(host: string): void {
+    this.tunnelClients.get(host)?.client.close();
+    this.tunnelClients.delete(host);
+  }
+
   /** Closes all links and stops listening. */
   close(): void {
+    for (const host of this.tunnelClients.keys()) this.dropTunnels(host);
     for (const [host, link] of this.links) this.closeLink(host, link);
     this.server.forceShutdown();
   }
@@ -156,6 +186,8 @@
           readonly messages.Message[]
         >,
       ) => this.accept(call),
+      tunnel: (call: grpc.ServerDuplexStream<Buffer, Buffer>) =>
+        this.acceptTunnel(call),
     });
     return server;
   }
@@ -171,25 +203,30 @@
     }
   }
 
-  private open(host: string): Link {
-    const {tls, secret} = this.options;
+  private createClient(address: string): grpc.Client {
+    const {tls} = this.options;
     const credentials = tls
       ? grpc.credentials.createSsl(tls.ca, tls.key, tls.cert)
       : grpc.credentials.createInsecure();
-    const client = new grpc.Client(
-      this.addresses.get(host) as string,
-      credentials,
-      {
-        'grpc.enable_retries': 0,
-        'grpc.enable_http_proxy': 0,
-        'grpc.use_local_subchannel_pool': 1,
-        'grpc.initial_reconnect_backoff_ms': INITIAL_RECONNECT_BACKOFF_MS,
-        'grpc.max_reconnect_backoff_ms': MAX_RECONNECT_BACKOFF_MS,
-      },
-    );
+    return new grpc.Client(address, credentials, {
+      'grpc.enable_retries': 0,
+      'grpc.enable_http_proxy': 0,
+      'grpc.use_local_subchannel_pool': 1,
+      'grpc.initial_reconnect_backoff_ms': INITIAL_RECONNECT_BACKOFF_MS,
+      'grpc.max_reconnect_backoff_ms': MAX_RECONNECT_BACKOFF_MS,
+    });
+  }
+
+  /** What this host tells of itself when it opens a stream. */
+  private credentials(): grpc.Metadata {
     const metadata = new grpc.Metadata();
     metadata.set('host', this.options.host);
-    metadata.set('secret', secret);
+    metadata.set('secret', this.options.secret);
+    return metadata;
+  }
+
+  private open(host: string): Link {
+    const client = this.createClient(this.addresses.get(host) as string);
     const stream = client.makeBidiStreamRequest<
       readonly messages.Message[],
       readonly messages.Message[]
@@ -197,7 +234,7 @@
       METHOD_PATH,
       items => this.encodeCounted(items),
       messages.decode,
-      metadata,
+      this.credentials(),
     );
     return this.attach(host, {stream, client});
   }
@@ -208,13 +245,27 @@
       readonly messages.Message[]
     >,
   ): void {
+    const host = this.authenticate(call);
+    if (host !== undefined) this.attach(host, {stream: call});
+  }
+
+  private acceptTunnel(call: grpc.ServerDuplexStream<Buffer, Buffer>): void {
+    const {onTunnel} = this.options;
+    const host = this.authenticate(call);
+    if (host === undefined) return;
+    if (onTunnel) return tunnels.serve(call, host, onTunnel);
+    call.emit('error', {code: grpc.status.UNIMPLEMENTED});
+  }
+
+  /** Returns the host that opened a stream; ends it and returns undefined unless the host has the secret. */
+  private authenticate(
+    call: grpc.ServerDuplexStream<unknown, unknown>,
+  ): string | undefined {
     const host = call.metadata.get('host')[0];
     const secret = call.metadata.get('secret')[0];
-    if (typeof host !== 'string' || secret !== this.options.secret) {
-      call.emit('error', {code: grpc.status.UNAUTHENTICATED});
-      return;
-    }
-    this.attach(host, {stream: call});
+    if (typeof host === 'string' && secret === this.options.secret) return host;
+    call.emit('error', {code: grpc.status.UNAUTHENTICATED});
+    return undefined;
   }
 
   /**
