--- a/packages/forwarding/src/paths.ts
+++ b/packages/forwarding/src/paths.ts
@@ -39,6 +39,8 @@
 export interface PathsOptions {
   readonly clock: decisions.clock.Clock;
   readonly carriers: carriers.Carriers;
+  /** Returns the path at which the backend server at an address answers whatever its state; empty if it has none. */
+  readonly healthPathOf: (address: string) => string;
   /** Opens a connection of this host; `net.connect` unless given. */
   readonly connect?: (options: net.NetConnectOpts) => stream.Duplex;
   /** Called when this host's link to a backend server is found to be cut, and when it is restored. */
@@ -203,7 +205,8 @@
   private probeOwnLink({address}: Path): Promise<probes.ProbeResult> {
     const [host, port] = address.split(':');
     const options = {host, port: Number(port), allowHalfOpen: true};
-    return probes.probe(this.connect(options));
+    const healthPath = this.options.healthPathOf(address);
+    return probes.probe(this.connect(options), healthPath);
   }
 
   private search(
@@ -224,11 +227,16 @@
     if (this.nowMs >= path.askAgainMs) {
       const isAnswerNeeded = result === 'mute' || result === 'reset';
       const found = await this.askOthers(path.address, isAnswerNeeded);
-      if (found.kind === 'connected') {
+      if (found.kind === 'failed') {
+        this.setUnreachable(path, found.failure);
+      } else if (
+        // A server that is busy answers one probe late and the next one in time.
+        result !== 'mute' ||
+        (await this.probeOwnLink(path)) !== 'answered'
+      ) {
         this.setCut(path, result);
         return 'cut';
       }
-      this.setUnreachable(path, found.failure);
     }
     return result === 'refused' ? 'refused' : 'unknown';
   }
@@ -240,7 +248,8 @@
   ): Promise<carriers.CarrierResult> {
     const accept = async (connection: stream.Duplex) => {
       if (!isAnswerNeeded) return true;
-      return (await probes.probe(connection)) === 'answered';
+      const healthPath = this.options.healthPathOf(address);
+      return (await probes.probe(connection, healthPath)) === 'answered';
     };
     return new Promise(resolve => {
       this.search(address, accept, result => {
--- a/packages/forwarding/src/probe.ts
+++ b/packages/forwarding/src/probe.ts
@@ -1,19 +1,28 @@
 import type * as stream from 'node:stream';
 
 const CONNECT_TIMEOUT_MS = 250;
-/** How long a connection that stands may take to be closed by the backend server. */
+/** How long a connection that stands may go without an answer. */
 const ANSWER_TIMEOUT_MS = 250;
+/** The start of any HTTP response. */
+const RESPONSE_START = 'HTTP/';
 
 /**
- * What a probe of a connection shows: `answered` if the backend server closes
- * it in turn, `mute` if it only stands, as at a server that is paused or behind
+ * What a probe of a connection shows: `answered` if the backend server answers;
+ * `mute` if the connection only stands, as at a server that is paused or behind
  * a network that holds up data; `reset` if it stood and was reset, `refused` if
  * it never stood, and `timeout` if nothing came.
  */
 export type ProbeResult = 'answered' | 'mute' | 'reset' | 'refused' | 'timeout';
 
-/** Probes a connection that is being opened by closing its sending side, and closes it. */
-export function probe(connection: stream.Duplex): Promise<ProbeResult> {
+/**
+ * Probes a connection that is being opened, and closes it: with a request for
+ * `healthPath`, any response to which is an answer, or without one by closing its sending
+ * side, which a backend server answers by closing the other.
+ */
+export function probe(
+  connection: stream.Duplex,
+  healthPath = '',
+): Promise<ProbeResult> {
   return new Promise(resolve => {
     let isConnected = false;
     const settle = (result: ProbeResult) => {
@@ -26,11 +35,19 @@
       isConnected = true;
       clearTimeout(timer);
       timer = setTimeout(() => settle('mute'), ANSWER_TIMEOUT_MS);
-      connection.end();
-      connection.on('data', () => settle('answered'));
+      connection.on('data', (bytes: Buffer) => {
+        const start = bytes.toString('latin1', 0, RESPONSE_START.length);
+        settle(RESPONSE_START.startsWith(start) ? 'answered' : 'reset');
+      });
+      if (healthPath === '') return void connection.end();
+      connection.write(
+        `GET ${healthPath} HTTP/1.1\r\nHost: localhost\r\nConnection: close\r\n\r\n`,
+      );
     };
     connection.on('error', () => settle(isConnected ? 'reset' : 'refused'));
-    connection.on('end', () => settle('answered'));
+    connection.on('end', () =>
+      settle(healthPath === '' ? 'answered' : 'reset'),
+    );
     const {connecting} = connection as {readonly connecting?: boolean};
     if (connecting === false) onConnect();
     else connection.once('connect', onConnect);
--- a/packages/gateway/src/host.ts
+++ b/packages/gateway/src/host.ts
@@ -308,6 +308,7 @@
     });
     this.paths = new forwarding.paths.Paths({
       ...{clock, carriers: this.tunnels},
+      healthPathOf: address => this.healthPathOf(address),
       onChange: change => this.onPath(change),
     });
     const {paths} = this;
@@ -728,6 +729,12 @@
     return keeper === undefined ? [] : [keeper];
   }
 
+  private healthPathOf(address: string): string {
+    const service = this.directory.entryAt(address)?.service ?? '';
+    const {configuration} = this.directory;
+    return configuration?.service(service)?.healthPath ?? '';
+  }
+
   /** Logs a change of this host's link to a backend server, and closes idle connections of the way that is not used any more. */
   private onPath(change: forwarding.paths.PathChange): void {
     const {address, isCut, result, cutMs} = change;
--- a/packages/routing/src/configuration.ts
+++ b/packages/routing/src/configuration.ts
@@ -36,6 +36,8 @@
 /** Capacity limits of the backend servers of a service, as set by the operator. */
 export interface ServiceSettings {
   readonly name: string;
+  /** The path of health checks; empty if there is none. */
+  readonly healthPath: string;
   /** The most connections to one backend server, summed over all hosts. */
   readonly maxConnections: number;
   /** Requests that one backend server runs at once; 0 leaves it to the backend server's own entry. */
--- a/packages/trials/src/relay.ts
+++ b/packages/trials/src/relay.ts
@@ -53,6 +53,8 @@
   private readonly pairs = new Map<Pair, string>();
   /** The source of each connection to the target, by the local port of that connection. */
   private readonly sourceByPort = new Map<number, string>();
+  /** Connections from the target whose end is held back. */
+  private readonly heldBack = new Set<net.Socket>();
   /** Connections that stay silent whatever the state. */
   private readonly silenced = new Set<net.Socket>();
 
@@ -109,6 +111,7 @@
     for (const [pair, source] of this.pairs) {
       if (!isMeant(source)) continue;
       ON_STATE[state](pair);
+      this.holdBack(pair, state === 'one-way');
       if (!isSilencing) continue;
       this.pairs.delete(pair);
       for (const socket of pair) this.silenced.add(socket);
@@ -149,7 +152,7 @@
       });
       socket.on('close', () => {
         // A silenced connection does not tell its other side either.
-        if (this.silenced.has(socket)) return;
+        if (this.silenced.has(socket) || this.heldBack.has(socket)) return;
         forget();
         // What was received is still passed on.
         other.destroySoon();
@@ -161,6 +164,14 @@
     inbound.pipe(outbound);
     if (state !== 'one-way') outbound.pipe(inbound);
     else outbound.pause();
+    this.holdBack(pair, state === 'one-way');
+  }
+
+  private holdBack([inbound, outbound]: Pair, isHeld: boolean): void {
+    if (isHeld) return void this.heldBack.add(outbound);
+    if (this.heldBack.delete(outbound) && outbound.destroyed) {
+      inbound.destroySoon();
+    }
   }
 }
 
