Cut-off hosts leave the addresses and come back; paths to servers that left are forgotten

A host that reaches backend servers only through others serves its callers, but takes processor time of two hosts for each. A cut path was probed for ever if its server left meanwhile.

--- a/packages/fleet/src/members.ts
+++ b/packages/fleet/src/members.ts
@@ -50,10 +50,12 @@
 
 type Member = decisions.membership.Member;
 
-/** The sender's configuration number and its age, as carried by probes and acks. */
+/** The sender's configuration number and its age, and whether it reaches backend servers only through others, as carried by probes and acks. */
 export interface ConfigState {
   readonly configNumber: number;
   readonly configAgeMs: number;
+  /** Undefined means false. */
+  readonly isCutOff?: boolean;
 }
 
 /** Dependencies and callbacks of `Members`. */
@@ -267,7 +269,7 @@
     this.options.onConfigState(from, probe);
     this.options.router.send(from, {
       kind: 'ack',
-      body: {sequence: probe.sequence, ...this.options.configState()},
+      body: {sequence: probe.sequence, ...this.state},
     });
   }
 
@@ -456,12 +458,16 @@
     this.sendNews(host, [target, this.membership.self]);
   }
 
+  private get state(): Required<ConfigState> {
+    return {isCutOff: false, ...this.options.configState()};
+  }
+
   private probe(host: string): void {
     this.sequence++;
     this.pendingProbes.set(this.sequence, {host, sentMs: this.nowMs});
     this.options.router.send(host, {
       kind: 'probe',
-      body: {sequence: this.sequence, ...this.options.configState()},
+      body: {sequence: this.sequence, ...this.state},
     });
   }
 
--- a/packages/forwarding/src/paths.test.ts
+++ b/packages/forwarding/src/paths.test.ts
@@ -58,7 +58,7 @@
 
 /** A host with paths to one backend server, and other hosts. */
 function create(own: Treatment, others: readonly Treatment[]) {
-  const network = {own, others};
+  const network = {own, others, isListed: true};
   const opened: FakeConnection[] = [];
   const asked: string[] = [];
   const changes: pathsModule.PathChange[] = [];
@@ -82,6 +82,7 @@
         return message === 'refused' ? 'unreachable' : 'unknown';
       },
     },
+    isListed: () => network.isListed,
     healthPathOf: () => '/healthz',
     connect: () => open(network.own),
     onChange: change => changes.push(change),
@@ -215,3 +216,18 @@
     await Promise.all(seeds.map(play));
   },
 );
+
+// Guards against probes without end of a server that left while the link to it was cut.
+test.test('the path to a server that left is forgotten', async () => {
+  const {network, opened, paths, dial} = create('refuse', ['open']);
+  await dial();
+  await waitUntil(() => paths.isCut(ADDRESS), 1000);
+  assert.ok(paths.isCutOff);
+  network.isListed = false;
+  await waitUntil(() => !paths.isCut(ADDRESS), 500);
+  assert.equal(paths.isCutOff, false);
+  const before = opened.length;
+  await timers.setTimeout(1000);
+  assert.equal(opened.length, before);
+  paths.stop();
+});
--- a/packages/forwarding/src/paths.ts
+++ b/packages/forwarding/src/paths.ts
@@ -29,6 +29,8 @@
 const UNREACHABLE_TTL_MS = 1000;
 /** How long data from any backend server shows that this host has links. */
 const HEARD_TTL_MS = 1500;
+/** A backend server counts as used for this time after a request or a probe. */
+const IN_USE_MS = 10_000;
 /** How long nothing may be known of the path to a backend server for it to be forgotten. */
 const FORGET_AFTER_MS = 60_000;
 
@@ -39,6 +41,8 @@
 export interface PathsOptions {
   readonly clock: decisions.clock.Clock;
   readonly carriers: carriers.Carriers;
+  /** True while a backend server that may be used has this address. */
+  readonly isListed: (address: string) => boolean;
   /** Returns the path at which the backend server at an address answers whatever its state; empty if it has none. */
   readonly healthPathOf: (address: string) => string;
   /** Opens a connection of this host; `net.connect` unless given. */
@@ -116,14 +120,13 @@
     return [...this.paths.values()].filter(p => p.cutMs !== undefined).length;
   }
 
-  /** True if this host gets data from no backend server that it uses, and its link to at least one is cut. */
+  /** True if this host's own links to all backend servers that it uses are cut. */
   get isCutOff(): boolean {
-    const sinceMs = this.nowMs - HOST_SILENCE_MS;
-    const used = [...this.paths.values()];
-    return (
-      used.some(path => path.cutMs !== undefined) &&
-      used.every(path => path.cutMs !== undefined || path.heardMs < sinceMs)
+    const sinceMs = this.nowMs - IN_USE_MS;
+    const used = [...this.paths.values()].filter(
+      ({cutMs, usedMs}) => cutMs !== undefined || usedMs >= sinceMs,
     );
+    return used.length > 0 && used.every(path => path.cutMs !== undefined);
   }
 
   /** True if data came lately from any backend server over this host's own links. */
@@ -308,9 +311,13 @@
     for (const path of this.paths.values()) {
       if (path.cutMs !== undefined) void this.probeForRestore(path);
       else this.checkSilence(path, hostSilentMs);
-      const isUnused = nowMs - path.usedMs >= FORGET_AFTER_MS;
-      const isIdle = path.cutMs === undefined && path.inFlight.size === 0;
-      if (isUnused && isIdle) this.paths.delete(path.address);
+      const isUnused =
+        path.cutMs === undefined
+          ? nowMs - path.usedMs >= FORGET_AFTER_MS
+          : !this.options.isListed(path.address);
+      if (isUnused && path.inFlight.size === 0) {
+        this.paths.delete(path.address);
+      }
     }
   }
 
--- a/packages/gateway/src/addresses.test.ts
+++ b/packages/gateway/src/addresses.test.ts
@@ -1,7 +1,7 @@
 import * as assert from 'node:assert/strict';
 import * as test from 'node:test';
 
-import type * as decisions from '@banyanhall/decisions';
+import * as decisions from '@banyanhall/decisions';
 
 import * as addresses from './addresses.js';
 
@@ -59,3 +59,21 @@
   assert.deepEqual(selectedHosts('caller'), selectedHosts('caller'));
   assert.equal(selectedHosts('caller').length, 5);
 });
+
+// Guards against callers that are sent to hosts without links to the backend servers (RECOVER).
+test.test('hosts that are cut off are left out until they are back', () => {
+  const clock = new decisions.clock.FakeClock(0);
+  const cutOff = new addresses.CutOffHosts(clock);
+  const serving = [member('a', 1), member('b', 1), member('c', 1)];
+  const usable = () => cutOff.usable(serving).map(({host}) => host);
+  cutOff.onState('a', true);
+  cutOff.onState('b', false);
+  assert.deepEqual(usable(), ['b', 'c']);
+  cutOff.onState('a', false);
+  assert.deepEqual(usable(), ['a', 'b', 'c']);
+  cutOff.onState('a', true);
+  clock.advance(3001);
+  assert.deepEqual(usable(), ['a', 'b', 'c']);
+  for (const {host} of serving) cutOff.onState(host, true);
+  assert.deepEqual(usable(), ['a', 'b', 'c']);
+});
--- a/packages/gateway/src/addresses.ts
+++ b/packages/gateway/src/addresses.ts
@@ -19,6 +19,33 @@
   readonly caller: string;
 }
 
+/** How long what a host said of its links holds; it says so with each probe and answer to one. */
+const CUT_OFF_TTL_MS = 3000;
+
+/** The hosts that reach backend servers only through others, as they last said. */
+export class CutOffHosts {
+  private readonly saidMs = new Map<string, number>();
+
+  constructor(private readonly clock: decisions.clock.Clock) {}
+
+  /** Records what a host says of its links. */
+  onState(host: string, isCutOff: boolean): void {
+    if (isCutOff) this.saidMs.set(host, this.clock.monotonicMs());
+    else this.saidMs.delete(host);
+  }
+
+  /** Returns the hosts that callers are to use: those that are not cut off, or all if there are no others. */
+  usable(
+    serving: readonly decisions.membership.Member[],
+  ): readonly decisions.membership.Member[] {
+    const sinceMs = this.clock.monotonicMs() - CUT_OFF_TTL_MS;
+    const usable = serving.filter(
+      ({host}) => (this.saidMs.get(host) ?? -Infinity) < sinceMs,
+    );
+    return usable.length > 0 ? usable : serving;
+  }
+}
+
 /**
  * Selects the hosts returned to a caller, nearby ones if there are enough.
  * Callers spread connections evenly over the returned hosts, so when hosts
--- a/packages/gateway/src/host.ts
+++ b/packages/gateway/src/host.ts
@@ -162,6 +162,7 @@
   private stopped: Promise<void> | undefined;
   private configurationSource = '';
   private isReadyLogged = false;
+  private readonly cutOffHosts = new addresses.CutOffHosts(this.clock);
   private readonly statementHandlers: StatementHandlers = {
     limit: change => this.onLimit(change),
     leaving: change => this.onLeaving(change),
@@ -223,6 +224,7 @@
       configState: () => ({
         configNumber: directory.configuration?.version ?? 0,
         configAgeMs: 0,
+        isCutOff: this.paths.isCutOff,
       }),
       onConfigState: (from, state) => this.onPeerConfigState(from, state),
       onChange: () => {
@@ -308,6 +310,7 @@
     });
     this.paths = new forwarding.paths.Paths({
       ...{clock, carriers: this.tunnels},
+      isListed: address => directory.entryAt(address) !== undefined,
       healthPathOf: address => this.healthPathOf(address),
       onChange: change => this.onPath(change),
     });
@@ -547,6 +550,7 @@
     from: string,
     state: membersModule.ConfigState,
   ): void {
+    this.cutOffHosts.onState(from, state.isCutOff ?? false);
     const known = this.directory.configuration?.version ?? 0;
     if (state.configNumber <= known) return;
     const body = {afterNumber: known};
@@ -794,7 +798,9 @@
       member => member.host !== settings.host || !this.shutdown.hasBegun,
     );
     const caller = response.socket?.remoteAddress ?? '';
-    const selected = addresses.selectHosts(serving, {...query, caller});
+    this.cutOffHosts.onState(settings.host, this.paths.isCutOff);
+    const usable = this.cutOffHosts.usable(serving);
+    const selected = addresses.selectHosts(usable, {...query, caller});
     const callerAddresses = selected.map(member => member.callerUrl);
     const body = formats.formatAddresses(callerAddresses, ADDRESS_TTL_MS);
     listeners.respond(response, 200, body, 'application/json');
