Paths: a server at which connections hang is still reported as down

What callers would have seen: requests that wait for a dark server again and again. A search among other hosts ended with the dial (600 ms), before those had their own time-outs, so that nothing was known and nothing reported. It now goes on to its end, tries no more hosts once one that reaches other servers has failed, and has a time-out of its own. A response that a cut link broke off no longer counts against a version.

Measured: the new test of paths.test failed before; paths.test 12 of 12.

--- a/packages/forwarding/src/carriers.ts
+++ b/packages/forwarding/src/carriers.ts
@@ -2,10 +2,14 @@
 import type * as stream from 'node:stream';
 
 /** The time after which the next host is tried beside one that has not connected yet. */
-const STAGGER_MS = 100;
+const STAGGER_MS = 50;
 /** The most hosts that are asked to connect, and the most of all that are tried, as some may have no way either. */
 const MAX_CONNECTING = 3;
 const MAX_TRIED = 6;
+/** After this time no more hosts are tried once one has found the backend server unreachable. */
+const MIN_SEARCH_MS = 200;
+/** A host whose link hangs neither connects nor fails. */
+const SEARCH_TIMEOUT_MS = 600;
 
 /** What the failure of another host to connect tells: the backend server is unreachable from there, the host has lost its links too, or nothing. */
 export type CarrierFailure = 'unreachable' | 'cut-off' | 'unknown';
@@ -52,14 +56,17 @@
 export class CarrierSearch {
   private readonly tried = new Set<string>();
   private readonly pending = new Set<stream.Duplex>();
+  private readonly startMs = performance.now();
   private failure: CarrierFailure | undefined;
   private timer: NodeJS.Timeout | undefined;
+  private timeout: NodeJS.Timeout | undefined;
   private hasEnded = false;
 
   constructor(private readonly options: CarrierSearchOptions) {}
 
   /** Tries the first host. */
   start(): void {
+    this.timeout = setTimeout(() => this.fail('unknown'), SEARCH_TIMEOUT_MS);
     this.tryNext();
   }
 
@@ -68,17 +75,24 @@
     if (this.hasEnded) return;
     this.hasEnded = true;
     clearTimeout(this.timer);
+    clearTimeout(this.timeout);
     for (const connection of this.pending) connection.destroy();
   }
 
   private tryNext(): void {
     clearTimeout(this.timer);
     const {carriers, address} = this.options;
+    const isCertain =
+      this.failure === 'unreachable' &&
+      performance.now() - this.startMs >= MIN_SEARCH_MS;
     const mayTry =
-      this.pending.size < MAX_CONNECTING && this.tried.size < MAX_TRIED;
+      !isCertain &&
+      this.pending.size < MAX_CONNECTING &&
+      this.tried.size < MAX_TRIED;
     const next = mayTry ? carriers.open(address, this.tried) : undefined;
     if (!next) {
-      if (this.pending.size === 0) this.fail();
+      // Without another host its own view is all that a host has.
+      if (this.pending.size === 0) this.fail('unreachable');
       return;
     }
     this.tried.add(next.host);
@@ -111,11 +125,10 @@
     });
   }
 
-  private fail(): void {
+  private fail(byDefault: CarrierFailure): void {
     if (this.hasEnded) return;
     this.cancel();
-    // Without another host its own view is all that a host has.
-    const failure = this.failure ?? 'unreachable';
+    const failure = this.failure ?? byDefault;
     this.options.onEnd({kind: 'failed', failure});
   }
 }
--- a/packages/forwarding/src/paths.test.ts
+++ b/packages/forwarding/src/paths.test.ts
@@ -12,7 +12,7 @@
 
 /** How a network treats a connection; `mute` ones stand and carry nothing. */
 type Treatment =
-  'open' | 'mute' | 'hang' | 'refuse' | 'reset' | 'cut-off' | 'busy';
+  'slow' | 'open' | 'mute' | 'hang' | 'refuse' | 'reset' | 'cut-off' | 'busy';
 
 const TREATMENTS: Readonly<
   Record<Treatment, (connection: FakeConnection) => void>
@@ -20,6 +20,11 @@
   open: connection => connection.stand(),
   mute: connection => connection.stand(),
   hang: () => undefined,
+  // As of another host at which the connection hangs.
+  slow: connection => {
+    const refuse = () => connection.destroy(new Error('refused'));
+    setTimeout(refuse, 250).unref();
+  },
   refuse: connection => void connection.destroy(new Error('refused')),
   reset: connection => {
     connection.stand();
@@ -231,3 +236,15 @@
   assert.equal(opened.length, before);
   paths.stop();
 });
+
+// Guards against a server that is down and hangs, of which no keeper hears, as its witnesses need time.
+test.test('a server at which all connections hang is unreachable', async () => {
+  const {paths, dial} = create('hang', ['slow', 'slow', 'slow', 'slow']);
+  await dial();
+  assert.equal(paths.isUnreachable(ADDRESS), true);
+  assert.equal(paths.isCut(ADDRESS), false);
+  await timers.setTimeout(900);
+  await dial();
+  assert.equal(paths.isUnreachable(ADDRESS), true);
+  paths.stop();
+});
--- a/packages/forwarding/src/paths.ts
+++ b/packages/forwarding/src/paths.ts
@@ -143,8 +143,9 @@
   /** True if a backend server that this host could not connect to is not reached by others either, as far as they answer. */
   isUnreachable(address: string): boolean {
     const path = this.paths.get(address);
-    if (!path || this.nowMs >= path.askAgainMs) return false;
-    return path.failure !== 'unknown';
+    // A dial that began while others were not asked may have ended since.
+    const untilMs = (path?.askAgainMs ?? -Infinity) + DIAL_TIMEOUT_MS;
+    return this.nowMs < untilMs && path?.failure !== 'unknown';
   }
 
   /** Resolves to true if no host can connect to the backend server; used where this host's own link is cut. */
@@ -449,13 +450,17 @@
     this.hasSearched = true;
     this.searching = this.options.search(result => {
       this.searching = undefined;
-      if (this.isDone) return;
       if (result.kind === 'connected') {
-        this.isCarried = true;
         if (this.ownError) this.reportLink('refused');
+        if (this.isDone) {
+          result.connection.destroy();
+          return this.reportLink('timeout');
+        }
+        this.isCarried = true;
         return this.end(null, result.connection);
       }
       this.options.onUnreachable(result.failure);
+      if (this.isDone) return;
       if (!this.own && !this.ownError) return this.connect();
       this.failIfOver();
     });
@@ -466,11 +471,9 @@
     this.end(this.ownError ?? new Error('connect failed'));
   }
 
-  /** At the end of the time, a connection that does not stand shows that the link is cut if another host's does. */
+  /** At the end of the time, a connection that does not stand shows that the link is cut if another host's does; a search goes on to its end, to know for the next dial. */
   private onTimeout(): void {
     const {own} = this;
-    this.searching?.cancel();
-    this.searching = undefined;
     if (own && !this.ownError && this.isCarried) this.reportLink('timeout');
     if (own && (own as net.Socket).connecting !== false) own.destroy();
     if (!this.isDone) this.end(new Error('connect timed out'));
--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -961,7 +961,7 @@
   ): boolean {
     const {paths} = this.options;
     if (cause === 'connect-failed') return !paths.isUnreachable(entry.address);
-    if (way.isCarried) return LINK_FAILURES.has(cause);
+    if (way.isCarried) return CARRIER_FAILURES.has(cause);
     return LINK_FAILURES.has(cause) && paths.isCut(entry.address);
   }
 
@@ -1135,12 +1135,16 @@
   }
 }
 
-/** The failures that a broken link causes as well as a backend server. */
+/** The failures that a broken link of this host causes as well as a backend server. */
 const LINK_FAILURES: ReadonlySet<forwarding.upstream.FailureCause> = new Set([
-  'reset',
-  'cancelled',
+  ...(['reset', 'cancelled', 'broken-answer'] as const),
 ]);
 
+/** The same for the link to a host that carries an attempt, of which nothing says that it is broken. */
+const CARRIER_FAILURES: ReadonlySet<forwarding.upstream.FailureCause> = new Set(
+  ['reset', 'cancelled'] as const,
+);
+
 /** The outcome of an attempt, as reported to the keeper, by the cause of its failure. */
 const OUTCOMES: Readonly<
   Record<
--- a/packages/gateway/src/tunnels.ts
+++ b/packages/gateway/src/tunnels.ts
@@ -14,7 +14,7 @@
 const MAX_CARRIED = 256;
 /** Tunnels are refused from this event loop lag on, well before this host's own callers are. */
 const MAX_LOOP_LAG_MS = 150;
-const CONNECT_TIMEOUT_MS = 400;
+const CONNECT_TIMEOUT_MS = 250;
 /** A host whose tunnel did not stand after this time is tried last. */
 const SLOW_MS = 300;
 
