MIXED: a reset is noticed on reused connections again

Cause: a reset that arrives with the last bytes is told from an end by the missing remote address of the socket. Asking a socket for its address, as idle connections were since the paths, makes Node.js remember it.

Change: the address of a connection is kept from its dial.

--- a/packages/forwarding/src/connections.ts
+++ b/packages/forwarding/src/connections.ts
@@ -14,6 +14,12 @@
 
 /** Opens connections over the paths to backend servers; without paths, directly. */
 class PathAgent extends http.Agent {
+  /**
+   * The backend servers, as ip:port, that connections lead to. A socket is not
+   * asked for it: one that was would name its peer also after a reset.
+   */
+  private readonly addresses = new WeakMap<stream.Duplex, string>();
+
   constructor(
     options: http.AgentOptions,
     protected readonly paths?: paths.Paths,
@@ -30,11 +36,18 @@
     }
     const {host, port} = options;
     const target = options as net.TcpNetConnectOpts;
-    this.paths.dial(`${host}:${port}`, target, (error, connection) =>
-      callback(error, connection as stream.Duplex),
-    );
+    const address = `${host}:${port}`;
+    this.paths.dial(address, target, (error, connection) => {
+      if (connection) this.addresses.set(connection, address);
+      callback(error, connection as stream.Duplex);
+    });
     return undefined;
   }
+
+  /** The backend server that a connection leads to; empty without paths. */
+  protected addressOf(connection: stream.Duplex): string {
+    return this.addresses.get(connection) ?? '';
+  }
 }
 
 /**
@@ -56,7 +69,7 @@
   }
 
   override keepSocketAlive(socket: stream.Duplex): boolean {
-    const address = addressOf(socket);
+    const address = this.addressOf(socket);
     if (this.paths && this.paths.isCut(address) !== isCarried(socket)) {
       return false;
     }
@@ -105,14 +118,6 @@
   return 'startIdle' in socket;
 }
 
-/** The backend server, as ip:port, that a connection leads to. */
-export function addressOf(socket: stream.Duplex): string {
-  const {remoteAddress, remotePort} = socket as net.Socket;
-  return isCarried(socket)
-    ? String(remoteAddress)
-    : `${remoteAddress}:${remotePort}`;
-}
-
 function destroyConnection(this: stream.Duplex): void {
   this.destroy();
 }
--- a/packages/forwarding/src/upstream.test.ts
+++ b/packages/forwarding/src/upstream.test.ts
@@ -113,6 +113,31 @@
     ),
 );
 
+// Guards against a cut body that looks whole, as the peer of the connection was looked up while it was idle (MIXED).
+test.test('such a reset is also noticed on a connection that was reused', () =>
+  withServer(
+    (socket, requests) => {
+      if (requests === 1) {
+        socket.write(
+          'HTTP/1.1 200 OK\r\nX-Id: r1\r\nContent-Length: 2\r\n\r\nok',
+        );
+        return;
+      }
+      socket.write('HTTP/1.1 200 OK\r\nX-Id: r2\r\n\r\nhalf', () => {
+        socket.resetAndDestroy();
+      });
+    },
+    async send => {
+      const first = answered(await send('r1'));
+      assert.equal(String(await upstreams.readBody(first)), 'ok');
+      await new Promise(resolve => setTimeout(resolve, 20));
+      const second = await send('r2');
+      if (second.kind === 'failed') return;
+      assert.equal(await upstreams.readBody(second), undefined);
+    },
+  ),
+);
+
 test.test('a body shorter than its Content-Length is incomplete', () =>
   withServer(
     socket =>
