Paths: what other hosts found of a server holds until the next search has ended

A second dial that asked the others again ended before they had answered late, when what they had found before no longer held, so that the failure would not have been reported. It now holds for the time of a dial and a search. The tests of paths stop their timers whether or not they fail.

--- a/packages/forwarding/src/paths.test.ts
+++ b/packages/forwarding/src/paths.test.ts
@@ -61,6 +61,12 @@
   }
 }
 
+const started: pathsModule.Paths[] = [];
+
+test.afterEach(() => {
+  for (const paths of started.splice(0)) paths.stop();
+});
+
 /** A host with paths to one backend server, and other hosts. */
 function create(own: Treatment, others: readonly Treatment[]) {
   const network = {own, others, isListed: true};
@@ -92,6 +98,7 @@
     connect: () => open(network.own),
     onChange: change => changes.push(change),
   });
+  started.push(paths);
   paths.start();
   const dial = () =>
     new Promise<stream.Duplex | Error>(resolve => {
@@ -123,7 +130,6 @@
         changes.map(({isCut}) => isCut),
         [true, false],
       );
-      paths.stop();
     },
   );
 }
@@ -138,7 +144,6 @@
   const before = asked.length;
   for (let i = 0; i < 20; i++) await dial();
   assert.equal(asked.length, before);
-  paths.stop();
 });
 
 // Guards against hosts without links that have servers marked as down for all, as hosts with links are too busy to answer (RECOVER).
@@ -148,7 +153,6 @@
     const {paths, dial} = create('refuse', ['cut-off', 'busy']);
     assert.ok((await dial()) instanceof Error);
     assert.equal(paths.isUnreachable(ADDRESS), false);
-    paths.stop();
   },
 );
 
@@ -156,14 +160,12 @@
   const {paths, dial} = create('refuse', ['cut-off', 'cut-off']);
   assert.ok((await dial()) instanceof Error);
   assert.equal(paths.isUnreachable(ADDRESS), true);
-  paths.stop();
 });
 
 test.test('a host alone fails as its own connection does', async () => {
   const {paths, dial} = create('refuse', []);
   assert.match(String(await dial()), /refused/);
   assert.equal(paths.isUnreachable(ADDRESS), true);
-  paths.stop();
 });
 
 // Guards against connections that stand and carry nothing, of which no connect tells (RECOVER).
@@ -177,7 +179,6 @@
   assert.equal(cuts, 1);
   await timers.setTimeout(1000);
   assert.ok(paths.isCut(ADDRESS));
-  paths.stop();
 });
 
 // Guards against a server that is silent for a while being taken for a link that is cut.
@@ -188,7 +189,6 @@
     await timers.setTimeout(1500);
     unwatch();
     assert.deepEqual(changes, []);
-    paths.stop();
   });
 }
 
@@ -209,7 +209,6 @@
           if (!found.destroyed) found.write('request');
         }
       }
-      paths.stop();
       // What is pending ends with the time for a dial.
       await timers.setTimeout(700);
       const left = opened.filter(each => !each.destroyed && each.connecting);
@@ -234,7 +233,6 @@
   const before = opened.length;
   await timers.setTimeout(1000);
   assert.equal(opened.length, before);
-  paths.stop();
 });
 
 // Guards against a server that is down and hangs, of which no keeper hears, as its witnesses need time.
@@ -246,5 +244,4 @@
   await timers.setTimeout(900);
   await dial();
   assert.equal(paths.isUnreachable(ADDRESS), true);
-  paths.stop();
 });
--- a/packages/forwarding/src/paths.ts
+++ b/packages/forwarding/src/paths.ts
@@ -143,8 +143,8 @@
   /** True if a backend server that this host could not connect to is not reached by others either, as far as they answer. */
   isUnreachable(address: string): boolean {
     const path = this.paths.get(address);
-    // A dial that began while others were not asked may have ended since.
-    const untilMs = (path?.askAgainMs ?? -Infinity) + DIAL_TIMEOUT_MS;
+    // Holds until a dial that began after it, and the search beside that, have ended.
+    const untilMs = (path?.askAgainMs ?? -Infinity) + 2 * DIAL_TIMEOUT_MS;
     return this.nowMs < untilMs && path?.failure !== 'unknown';
   }
 
