--- a/packages/forwarding/src/paths.test.ts
+++ b/packages/forwarding/src/paths.test.ts
@@ -209,6 +209,7 @@
           if (!found.destroyed) found.write('request');
         }
       }
+      paths.stop();
       // What is pending ends with the time for a dial.
       await timers.setTimeout(700);
       const left = opened.filter(each => !each.destroyed && each.connecting);
