A server that breaks off what it gets is put down after three attempts in a row

Callers saw 502 for most requests while nine of 63 backend servers accepted connections and reset each request: such a server frees its slots at once, so it draws the requests that wait for room elsewhere. Cause: only a refused connection, silence or a rejection put a runner down; a reset only raised its failure rate.

A failed attempt now tells its keeper whether the connection broke off (field is_broken of Done; older hosts omit it and are treated as before). Three in a row put the runner down with the backoff of a crashed one; an answer clears the count. An error that the server sends does not count. The failures' outcomes move out of the dispatcher into a module of their own.

--- a/packages/decisions/src/runner.ts
+++ b/packages/decisions/src/runner.ts
@@ -17,9 +17,18 @@
   'not-admitted': 500,
   unreachable: 1000,
   crashed: 2000,
+  broken: 2000,
   silent: 5000,
 } as const;
 
+/**
+ * After this many attempts in a row that broke off without an answer, a runner is
+ * `down`. A backend server that resets what it gets frees its slots at once, so
+ * it would otherwise draw the requests that wait for room elsewhere. Fewer would
+ * also put down a runner on which one request of many fails.
+ */
+const MAX_BROKEN_IN_A_ROW = 3;
+
 /** How long a runner stays `leaving` after the last report that it leaves, in milliseconds. */
 const LEAVING_HOLD_MS = 5000;
 
@@ -29,7 +38,8 @@
 /**
  * The result of an attempt. A `not-admitted` attempt was refused by the backend
  * server, and a `silent` one got no answer in time. A `failed` attempt ended
- * with an error, while a `crashed` one shows that the backend server is gone.
+ * with an error, which `isBroken` if the connection broke off instead of
+ * bringing an answer, while a `crashed` one shows that the backend server is gone.
  */
 export type Outcome =
   | {readonly kind: 'completed'; readonly measured: pace.Measurement}
@@ -38,7 +48,7 @@
   | {readonly kind: 'unreachable'}
   | {readonly kind: 'crashed'}
   | {readonly kind: 'silent'}
-  | {readonly kind: 'failed'};
+  | {readonly kind: 'failed'; readonly isBroken?: boolean};
 
 /** The time over which a reported number of foreign requests (those not granted by this cell) decays linearly to zero, in milliseconds. */
 const FOREIGN_DECAY_MS = 1500;
@@ -65,6 +75,8 @@
   readonly versions: readonly string[];
   readonly state: RunnerState;
   readonly consecutiveFailures: number;
+  /** The attempts that broke off since the last one that brought an answer. */
+  readonly brokenInARow: number;
   /** When a runner that is down accepts a probe. */
   readonly retryAtMs: number;
   /** When the runner was last reported as leaving. */
@@ -123,6 +135,7 @@
       versions,
       state: 'live',
       consecutiveFailures: 0,
+      brokenInARow: 0,
       retryAtMs: 0,
       leavingAtMs: 0,
       pace: server.expectedPace ?? pace.INITIAL_PACE,
@@ -426,6 +439,15 @@
     });
   }
 
+  /** Counts an attempt that broke off or, if not `isBroken`, ended with an error that the backend server sent. */
+  recordFailure(isBroken: boolean, nowMs: number): Runner {
+    const brokenInARow = isBroken ? this.fields.brokenInARow + 1 : 0;
+    const counted = this.with({brokenInARow}).withFailureSample(true);
+    return brokenInARow >= MAX_BROKEN_IN_A_ROW
+      ? counted.markDown('broken', nowMs)
+      : counted;
+  }
+
   /** Adds the success or failure of an attempt to the failure rate. */
   withFailureSample(isFailure: boolean): Runner {
     const {failureRate} = this.fields;
@@ -462,6 +484,7 @@
     return this.withReportedUse(measured.inUse, nowMs).with({
       state: this.fields.state === 'leaving' ? 'leaving' : 'live',
       consecutiveFailures: 0,
+      brokenInARow: 0,
       pace: pace.updatePace(this.fields.pace, measured),
     });
   }
@@ -479,5 +502,6 @@
   crashed: (runner, _, nowMs) => runner.markDown('crashed', nowMs),
   silent: (runner, _, nowMs) =>
     runner.markDown('silent', nowMs).withFailureSample(true),
-  failed: runner => runner.withFailureSample(true),
+  failed: (runner, {isBroken = false}, nowMs) =>
+    runner.recordFailure(isBroken, nowMs),
 };
--- a/packages/fleet/src/keeper.ts
+++ b/packages/fleet/src/keeper.ts
@@ -338,5 +338,6 @@
     return {kind, measured};
   }
   if (kind === 'not-admitted') return {kind, isLeaving: done.isLeaving};
+  if (kind === 'failed') return {kind, isBroken: done.isBroken};
   return {kind};
 }
--- a/packages/fleet/src/slots.ts
+++ b/packages/fleet/src/slots.ts
@@ -228,6 +228,7 @@
         ticketId,
         outcome: outcome.kind,
         isLeaving: outcome.kind === 'not-admitted' && outcome.isLeaving,
+        isBroken: outcome.kind === 'failed' && outcome.isBroken === true,
         prefillTokens: Math.round(measured.prefillTokens),
         outputTokens: Math.round(measured.outputTokens),
         firstTokenMs: Math.round(measured.firstTokenMs),
--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -13,6 +13,7 @@
 import * as directories from './directory.js';
 import type * as logs from './logs.js';
 import type * as metrics from './metrics.js';
+import * as outcomes from './outcomes.js';
 import * as requests from './request.js';
 import type * as rollouts from './rollouts.js';
 import * as shutdowns from './shutdown.js';
@@ -940,7 +941,9 @@
     if (hasCrashed) crashes.recordCrash(entry.id);
     slots.done(
       grant.ticketId,
-      isInDoubt ? {kind: 'cancelled'} : OUTCOMES[failure.cause](hasCrashed),
+      isInDoubt
+        ? {kind: 'cancelled'}
+        : outcomes.OUTCOMES[failure.cause](hasCrashed),
     );
     if (failure.cause === 'wrong-server') {
       directory.onServerEntry(entry.id, undefined);
@@ -961,8 +964,8 @@
   ): boolean {
     const {paths} = this.options;
     if (cause === 'connect-failed') return !paths.isUnreachable(entry.address);
-    if (way.isCarried) return CARRIER_FAILURES.has(cause);
-    return LINK_FAILURES.has(cause) && paths.isCut(entry.address);
+    if (way.isCarried) return outcomes.CARRIER_FAILURES.has(cause);
+    return outcomes.LINK_FAILURES.has(cause) && paths.isCut(entry.address);
   }
 
   /** True when a request may be retried now; the retry is then counted in the budget. */
@@ -1135,35 +1138,6 @@
   }
 }
 
-/** The failures that a broken link of this host causes as well as a backend server. */
-const LINK_FAILURES: ReadonlySet<forwarding.upstream.FailureCause> = new Set([
-  ...(['reset', 'cancelled', 'broken-answer'] as const),
-]);
-
-/** The same for the link to a host that carries an attempt, of which nothing says that it is broken. */
-const CARRIER_FAILURES: ReadonlySet<forwarding.upstream.FailureCause> = new Set(
-  ['reset', 'cancelled'] as const,
-);
-
-/** The outcome of an attempt, as reported to the keeper, by the cause of its failure. */
-const OUTCOMES: Readonly<
-  Record<
-    forwarding.upstream.FailureCause,
-    (hasCrashed: boolean) => decisions.runner.Outcome
-  >
-> = {
-  'invalid-request': () => ({kind: 'cancelled'}),
-  'connect-failed': () => ({kind: 'unreachable'}),
-  reset: hasCrashed => ({kind: hasCrashed ? 'crashed' : 'failed'}),
-  'broken-answer': hasCrashed => ({kind: hasCrashed ? 'crashed' : 'failed'}),
-  // The caller is still connected: this host gave up the attempt for its silence.
-  cancelled: () => ({kind: 'silent'}),
-  'timed-out': () => ({kind: 'failed'}),
-  'foreign-answer': () => ({kind: 'failed'}),
-  refused: () => ({kind: 'not-admitted', isLeaving: false}),
-  'wrong-server': () => ({kind: 'not-admitted', isLeaving: true}),
-};
-
 /** The requests on a backend server, running and waiting, by its own load report. */
 function inUseOf(
   load: forwarding.upstream.LoadReport | undefined,
--- /dev/null
+++ b/packages/gateway/src/outcomes.ts
@@ -0,0 +1,37 @@
+/*
+ * What the failure of an attempt tells of its backend server, and what is
+ * reported of it to the keeper.
+ */
+import type * as decisions from '@banyanhall/decisions';
+import type * as forwarding from '@banyanhall/forwarding';
+
+/** The failures that a broken link of this host causes as well as a backend server. */
+export const LINK_FAILURES: ReadonlySet<forwarding.upstream.FailureCause> =
+  new Set([...(['reset', 'cancelled', 'broken-answer'] as const)]);
+
+/** The same for the link to a host that carries an attempt, of which nothing says that it is broken. */
+export const CARRIER_FAILURES: ReadonlySet<forwarding.upstream.FailureCause> =
+  new Set(['reset', 'cancelled'] as const);
+
+/** The outcome of an attempt, as reported to the keeper, by the cause of its failure. */
+export const OUTCOMES: Readonly<
+  Record<
+    forwarding.upstream.FailureCause,
+    (hasCrashed: boolean) => decisions.runner.Outcome
+  >
+> = {
+  'invalid-request': () => ({kind: 'cancelled'}),
+  'connect-failed': () => ({kind: 'unreachable'}),
+  reset: brokenOutcome,
+  'broken-answer': brokenOutcome,
+  // The caller is still connected: this host gave up the attempt for its silence.
+  cancelled: () => ({kind: 'silent'}),
+  'timed-out': () => ({kind: 'failed'}),
+  'foreign-answer': () => ({kind: 'failed'}),
+  refused: () => ({kind: 'not-admitted', isLeaving: false}),
+  'wrong-server': () => ({kind: 'not-admitted', isLeaving: true}),
+};
+
+function brokenOutcome(hasCrashed: boolean): decisions.runner.Outcome {
+  return hasCrashed ? {kind: 'crashed'} : {kind: 'failed', isBroken: true};
+}
