--- a/packages/decisions/src/arrivalload.ts
+++ b/packages/decisions/src/arrivalload.ts
@@ -3,6 +3,9 @@
 /** The time constant with which past arrivals decay, in milliseconds. */
 const DECAY_MS = 1500;
 
+/** A region whose load by restricted tickets is below this is forgotten. */
+const MIN_SHARE = 0.001;
+
 /** The number of urgencies that are distinguished within a tier; higher values count as the last one. */
 const URGENCY_LEVELS = 16;
 
@@ -19,6 +22,8 @@
 export class ArrivalLoad {
   private constructor(
     private readonly loadByClass: ReadonlyMap<number, DecayedLoad>,
+    /** The load of each region by arrivals that may use only some regions; it comes on top. */
+    private readonly byRegion: ReadonlyMap<string, ArrivalLoad> = new Map(),
   ) {}
 
   /** No arrivals. */
@@ -30,9 +35,53 @@
     const share = this.share(key, nowMs) + cellMs / DECAY_MS;
     return new ArrivalLoad(
       new Map(this.loadByClass).set(key, {share, atMs: nowMs}),
+      this.byRegion,
+    );
+  }
+
+  /** Adds an arrival that may use only these regions, and would occupy them for `cellMs`. */
+  addIn(
+    regions: readonly string[],
+    ticket: tickets.Ticket,
+    cellMs: number,
+    nowMs: number,
+  ): ArrivalLoad {
+    const byRegion = new Map(
+      [...this.byRegion].filter(([, load]) => load.total(nowMs) >= MIN_SHARE),
+    );
+    for (const region of regions) {
+      const load = byRegion.get(region) ?? ArrivalLoad.none;
+      byRegion.set(region, load.add(ticket, cellMs, nowMs));
+    }
+    return new ArrivalLoad(this.loadByClass, byRegion);
+  }
+
+  /** True if the load differs between regions. */
+  hasRegionalLoad(nowMs: number): boolean {
+    if (this.byRegion.size === 0) return false;
+    return [...this.byRegion.values()].some(
+      load => load.total(nowMs) >= MIN_SHARE,
     );
   }
 
+  /** Returns the load of a region: that of all arrivals that may use it. */
+  in(region: string, nowMs: number): ArrivalLoad {
+    const regional = this.byRegion.get(region);
+    if (!regional) return this;
+    const loadByClass = new Map(this.loadByClass);
+    for (const key of regional.loadByClass.keys()) {
+      const share = this.share(key, nowMs) + regional.share(key, nowMs);
+      loadByClass.set(key, {share, atMs: nowMs});
+    }
+    return new ArrivalLoad(loadByClass);
+  }
+
+  private total(nowMs: number): number {
+    let sum = 0;
+    for (const key of this.loadByClass.keys()) sum += this.share(key, nowMs);
+    return sum;
+  }
+
   /** Returns the fraction of the cell that arrivals of classes above that of the ticket need. */
   ofHigherClasses(ticket: tickets.Ticket, nowMs: number): number {
     const own = priorityClass(ticket);
--- a/packages/decisions/src/cell.ts
+++ b/packages/decisions/src/cell.ts
@@ -8,6 +8,7 @@
 import * as placement from './placement.js';
 import * as arrivalload from './arrivalload.js';
 import * as priority from './priority.js';
+import * as regions from './regions.js';
 import * as rendezvous from './rendezvous.js';
 import * as runners from './runner.js';
 import * as tickets from './ticket.js';
@@ -15,6 +16,9 @@
 /** The maximum number of waiting tickets in a cell. */
 export const MAX_WAITING_TICKETS = 512;
 
+/** The most tickets beyond these that are expected to start at once, while tickets wait that may use only other regions. */
+const MAX_STARTING_TICKETS = 16;
+
 /** The maximum time for which a new keeper collects the hosts' grants before it grants slots, in milliseconds. */
 export const RECOVERY_MS = 400;
 
@@ -51,7 +55,7 @@
   readonly effects: readonly events.CellEffect[];
 }
 
-/** A period in which tiers lower than `tier` are rejected. */
+/** A period in which tiers lower than `tier` are rejected in a region. */
 interface TierCutoff {
   readonly tier: config.Tier;
   readonly untilMs: number;
@@ -59,6 +63,8 @@
 
 interface CellFields {
   readonly runners: ReadonlyMap<string, runners.Runner>;
+  /** The regions of the runners. */
+  readonly regions: readonly string[];
   readonly waiting: readonly tickets.Ticket[];
   readonly running: ReadonlyMap<string, tickets.Grant>;
   /** The hosts that have not reported their grants; nothing is granted until all have, or until `recoverUntilMs`. */
@@ -66,7 +72,7 @@
   readonly recoverUntilMs: number;
   /** The times at which slots of lost hosts are released, by ticket id. */
   readonly orphanUntilMs: ReadonlyMap<string, number>;
-  readonly cutoff: TierCutoff | undefined;
+  readonly cutoffs: ReadonlyMap<string, TierCutoff>;
   readonly recentUsage: priority.RecentUsage;
   readonly arrivalLoad: arrivalload.ArrivalLoad;
   /** Since when waiting tickets are held back by the limit of a runner, by ticket id. */
@@ -90,8 +96,10 @@
  * - no ticket is granted on a runner that is reserved for a ticket before it;
  * - at most one suspect request runs;
  * - a runner with a limit is granted no more often than its `StartRate` allows;
- * - when a ticket is shed, no ticket of a lower tier waits, and none is
- *   admitted until `CUTOFF_MS` have passed.
+ * - a ticket is granted only on a runner in a region that it may use;
+ * - when a ticket is shed, no ticket of a lower tier waits that may use only
+ *   regions that the ticket may use too, and none is admitted until `CUTOFF_MS`
+ *   have passed. One that may use others is not refused, as that frees nothing.
  */
 export class Cell {
   private constructor(private readonly fields: CellFields) {}
@@ -100,12 +108,13 @@
   static recovering(hosts: readonly string[], nowMs: number): Cell {
     return new Cell({
       runners: new Map(),
+      regions: [],
       waiting: [],
       running: new Map(),
       unreportedHosts: new Set(hosts),
       recoverUntilMs: nowMs + RECOVERY_MS,
       orphanUntilMs: new Map(),
-      cutoff: undefined,
+      cutoffs: new Map(),
       recentUsage: priority.RecentUsage.none,
       arrivalLoad: arrivalload.ArrivalLoad.none,
       heldBackSinceMs: new Map(),
@@ -176,7 +185,13 @@
       return this.refuse(ticket, 'no-runner', NO_RUNNER_RETRY_MS);
     }
     const cellMs = estimate.cellTimeMs(ticket, nowMs);
-    const arrivalLoad = this.fields.arrivalLoad.add(ticket, cellMs, nowMs);
+    const {arrivalLoad: before} = this.fields;
+    const isEverywhere = regions.covers(
+      ...([this.fields.regions, ticket.allowedRegions, undefined] as const),
+    );
+    const arrivalLoad = isEverywhere
+      ? before.add(ticket, cellMs, nowMs)
+      : before.addIn(this.regionsOf(ticket), ticket, cellMs, nowMs);
     return this.withFields({arrivalLoad}).decide(ticket, estimate, nowMs);
   }
 
@@ -189,7 +204,7 @@
     if (!estimate.canStart(ticket, 0, nowMs)) {
       return this.refuse(ticket, 'deadline', 0);
     }
-    if (this.isCutOff(ticket.tier, nowMs)) {
+    if (this.isCutOff(ticket, nowMs)) {
       return this.refuse(ticket, 'overloaded', CUTOFF_MS);
     }
     const waitMs = estimate.waitMs(ticket, nowMs);
@@ -199,7 +214,9 @@
     const enqueued = this.withFields({
       waiting: [...this.fields.waiting, ticket],
     });
-    if (enqueued.waiting.length <= MAX_WAITING_TICKETS)
+    // Tickets that wait for other regions do not keep out one that starts at once.
+    const extra = waitMs === 0 && this.hasRestricted ? MAX_STARTING_TICKETS : 0;
+    if (enqueued.waiting.length <= MAX_WAITING_TICKETS + extra)
       return {cell: enqueued, effects: []};
     const evicted = priority.evictionCandidate(
       enqueued.waiting,
@@ -207,9 +224,18 @@
     return enqueued.withoutWaiting(evicted.id).shed(evicted, waitMs, nowMs);
   }
 
+  private get hasRestricted(): boolean {
+    return this.fields.waiting.some(t => t.allowedRegions !== undefined);
+  }
+
+  /** Returns the regions of the cell that a ticket may use. */
+  private regionsOf({allowedRegions}: tickets.Ticket): readonly string[] {
+    return regions.domain(this.fields.regions, allowedRegions);
+  }
+
   /**
    * Refuses a ticket as overloaded, and before it all waiting tickets of lower
-   * tiers; `waitMs` is its expected wait. A suspect request waits for an idle
+   * tiers that may only use regions that it may use too; `waitMs` is its expected wait. A suspect request waits for an idle
    * runner, so it is refused alone: that says nothing about the load. So is one
    * that goes on without a slot, as nothing is lost.
    */
@@ -218,12 +244,18 @@
       const retryAfterMs = retryDelayMs(ticket, waitMs, nowMs);
       return this.refuse(ticket, 'overloaded', retryAfterMs);
     }
-    const lower = this.fields.waiting.filter(t => t.tier > ticket.tier);
+    const isShedWith = (other: tickets.Ticket) =>
+      other.tier > ticket.tier &&
+      regions.covers(
+        this.fields.regions,
+        ticket.allowedRegions,
+        other.allowedRegions,
+      );
+    const lower = this.fields.waiting.filter(isShedWith);
     const lowestFirst = [...lower].sort((a, b) => b.tier - a.tier);
-    const cutoff = this.cutoffAfter(ticket.tier, nowMs);
     const cell = this.withFields({
-      waiting: this.fields.waiting.filter(t => t.tier <= ticket.tier),
-      cutoff,
+      waiting: this.fields.waiting.filter(t => !isShedWith(t)),
+      cutoffs: this.cutoffsAfter(ticket, nowMs),
     });
     const effects = [...lowestFirst, ticket].map((shed): events.CellEffect => ({
       kind: 'refuse',
@@ -364,7 +396,11 @@
     const running = [...this.fields.running].filter(([, r]) =>
       next.has(r.runner),
     );
-    return this.withFields({runners: next, running: new Map(running)});
+    return this.withFields({
+      runners: next,
+      regions: [...new Set(servers.map(({region}) => region))],
+      running: new Map(running),
+    });
   }
 
   /** Applies a runner's load report, or the failure to get one. */
@@ -450,16 +486,31 @@
     };
   }
 
-  private isCutOff(tier: config.Tier, nowMs: number): boolean {
-    const {cutoff} = this.fields;
-    return !!cutoff && nowMs < cutoff.untilMs && tier > cutoff.tier;
+  /** True if tickets of higher tiers were shed lately in all regions that the ticket may use. */
+  private isCutOff(ticket: tickets.Ticket, nowMs: number): boolean {
+    const {cutoffs} = this.fields;
+    if (cutoffs.size === 0) return false;
+    return this.regionsOf(ticket).every(region => {
+      const cutoff = cutoffs.get(region);
+      return !!cutoff && nowMs < cutoff.untilMs && ticket.tier > cutoff.tier;
+    });
   }
 
-  /** Returns the cutoff after a ticket of this tier was shed; a current one for a higher tier stays. */
-  private cutoffAfter(tier: config.Tier, nowMs: number): TierCutoff {
-    const {cutoff} = this.fields;
-    const keepsCurrent = cutoff && nowMs < cutoff.untilMs && cutoff.tier < tier;
-    return keepsCurrent ? cutoff : {tier, untilMs: nowMs + CUTOFF_MS};
+  /** Returns the cutoffs by region after a ticket was shed; a current one for a higher tier stays. */
+  private cutoffsAfter(
+    ticket: tickets.Ticket,
+    nowMs: number,
+  ): ReadonlyMap<string, TierCutoff> {
+    const {tier} = ticket;
+    const cutoffs = new Map(this.fields.cutoffs);
+    for (const region of this.regionsOf(ticket)) {
+      const cutoff = cutoffs.get(region);
+      const keepsCurrent =
+        cutoff && nowMs < cutoff.untilMs && cutoff.tier < tier;
+      if (keepsCurrent) continue;
+      cutoffs.set(region, {tier, untilMs: nowMs + CUTOFF_MS});
+    }
+    return cutoffs;
   }
 
   /** Grants slots to waiting tickets in order of priority; one that does not fit reserves runners, which later tickets can't use. */
@@ -488,7 +539,8 @@
     for (const ticket of ordered) {
       if (free.size === 0) break;
       if (ticket.isSuspect && hasSuspect) continue;
-      hasSuspect ||= ticket.isSuspect;
+      // One that waits for its regions does not hold up those that may use others.
+      hasSuspect ||= ticket.isSuspect && ticket.allowedRegions === undefined;
       const runner = placement.findBestRunner(
         cell.runners,
         ticket,
@@ -503,6 +555,7 @@
         }
         continue;
       }
+      hasSuspect ||= ticket.isSuspect;
       const sinceMs = this.fields.heldBackSinceMs.get(ticket.id) ?? nowMs;
       cell = cell
         .addGrant({ticket, runner: runner.name, grantedMs: nowMs})
@@ -524,7 +577,10 @@
     const heldBackSinceMs = new Map<string, number>();
     for (const ticket of waiting) {
       const sinceMs = before.get(ticket.id);
-      const isHeldBack = () => limited.some(r => r.isHeldBack(ticket, nowMs));
+      const isHeldBack = () =>
+        limited.some(
+          runner => runner.serves(ticket) && runner.isHeldBack(ticket, nowMs),
+        );
       if (sinceMs === undefined && !isHeldBack()) continue;
       heldBackSinceMs.set(ticket.id, sinceMs ?? nowMs);
     }
--- a/packages/decisions/src/cellchecker.ts
+++ b/packages/decisions/src/cellchecker.ts
@@ -1,12 +1,14 @@
 import type * as cells from './cell.js';
 import type * as events from './cellevents.js';
+import * as regions from './regions.js';
 import * as tickets from './ticket.js';
 
 /**
  * Checks the invariants of a cell over a sequence of events, in tests.
  * `violations` describes each violation: a ticket granted twice, a runner over
- * its budget, a suspect request that shares a runner, a tier shed while a
- * lower one waits, or a ticket dropped without an answer.
+ * its budget, a grant in a region that the ticket may not use, a suspect request
+ * that shares a runner, a tier shed while a lower one waits that may use only
+ * the same regions, or a ticket dropped without an answer.
  */
 export class CellChecker {
   readonly violations: string[] = [];
@@ -45,14 +47,25 @@
         this.violations.push(`ticket ${id} granted twice`);
       }
       this.granted.add(id);
+      const {region} = effect.server;
+      if (!regions.isAllowed(effect.ticket.allowedRegions, region)) {
+        this.violations.push(`ticket ${id} granted in region ${region}`);
+      }
     }
   }
 
   private checkTiers(applied: cells.Transition, nowMs: number): void {
+    const present = applied.cell.runners.map(({server}) => server.region);
     for (const effect of applied.effects) {
       if (effect.kind !== 'refuse' || effect.reason !== 'overloaded') continue;
       const lower = applied.cell.waiting.find(
-        waiting => waiting.tier > effect.ticket.tier,
+        waiting =>
+          waiting.tier > effect.ticket.tier &&
+          regions.covers(
+            present,
+            effect.ticket.allowedRegions,
+            waiting.allowedRegions,
+          ),
       );
       if (!lower) continue;
       this.violations.push(
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -14,6 +14,7 @@
 export * as prefixcache from './prefixcache.js';
 export * as random from './random.js';
 export * as priority from './priority.js';
+export * as regions from './regions.js';
 export * as rendezvous from './rendezvous.js';
 export * as runner from './runner.js';
 export * as startrate from './startrate.js';
--- a/packages/decisions/src/runner.ts
+++ b/packages/decisions/src/runner.ts
@@ -2,6 +2,7 @@
 import * as pace from './pace.js';
 import * as prefillqueue from './prefillqueue.js';
 import * as prefixcache from './prefixcache.js';
+import * as regions from './regions.js';
 import * as startrates from './startrate.js';
 import * as tickets from './ticket.js';
 
@@ -202,9 +203,10 @@
     return state === 'down' && nowMs >= retryAtMs && running === 0;
   }
 
-  /** Returns true if the runner serves the ticket's version; one without known versions serves all. */
+  /** Returns true if the runner is in a region that the ticket may use and serves its version; one without known versions serves all. */
   serves(ticket: tickets.Ticket): boolean {
-    const {versions} = this.fields;
+    const {versions, server} = this.fields;
+    if (!regions.isAllowed(ticket.allowedRegions, server.region)) return false;
     return (
       ticket.version === '' ||
       versions.length === 0 ||
--- a/packages/decisions/src/ticket.ts
+++ b/packages/decisions/src/ticket.ts
@@ -30,6 +30,8 @@
   readonly isSuspect: boolean;
   /** True if the request goes on without a slot; undefined means false. */
   readonly isOptional?: boolean;
+  /** The regions of the runners that may be used; undefined means all, an empty list none. */
+  readonly allowedRegions?: readonly string[];
   /** Runners on which earlier attempts failed; other runners are preferred. */
   readonly avoid: readonly string[];
 }
--- a/packages/decisions/src/waitestimate.ts
+++ b/packages/decisions/src/waitestimate.ts
@@ -1,6 +1,8 @@
 import * as arrivalload from './arrivalload.js';
 import * as paces from './pace.js';
 import * as priority from './priority.js';
+import * as regions from './regions.js';
+import * as regionwaits from './regionwaits.js';
 import type * as runners from './runner.js';
 import * as tickets from './ticket.js';
 
@@ -22,12 +24,13 @@
 
 /** Estimates the waiting times of tickets from a cell's runners and the work ahead at one moment; times are in milliseconds. */
 export class WaitEstimate {
-  private readonly usableByVersion = new Map<
-    string,
-    readonly runners.Runner[]
-  >();
-  private capacityPerMs: number | undefined;
-  private limitedStartsPerMs: number | undefined;
+  /** The usable runners by version and regions; the other results by regions only. */
+  private readonly usableByKind = new Map<string, readonly runners.Runner[]>();
+  private readonly capacityByRegions = new Map<string, number>();
+  private readonly limitedStartsByRegions = new Map<string, number>();
+  private readonly regionsByKind = new Map<string, readonly string[]>();
+  private readonly loadByRegion = new Map<string, arrivalload.ArrivalLoad>();
+  private isRegionalKnown: boolean | undefined;
 
   constructor(
     private readonly runners: ReadonlyMap<string, runners.Runner>,
@@ -41,13 +44,14 @@
     ticket: tickets.Ticket,
     nowMs: number,
   ): readonly runners.Runner[] {
-    const known = this.usableByVersion.get(ticket.version);
+    const kind = kindOf(ticket);
+    const known = this.usableByKind.get(kind);
     if (known) return known;
     const able = [...this.runners.values()].filter(r => r.serves(ticket));
     const available = able.filter(r => r.isAvailable(nowMs));
     const usable =
       available.length > 0 ? available : able.filter(r => r.state === 'down');
-    this.usableByVersion.set(ticket.version, usable);
+    this.usableByKind.set(kind, usable);
     return usable;
   }
 
@@ -76,30 +80,26 @@
 
   /** Returns the sum of the limits of the runners that state one, in starts per millisecond. */
   private limitedStarts(ticket: tickets.Ticket, nowMs: number): number {
-    this.limitedStartsPerMs ??= this.usableRunners(ticket, nowMs).reduce(
+    const key = regions.keyOf(ticket.allowedRegions);
+    const known = this.limitedStartsByRegions.get(key);
+    if (known !== undefined) return known;
+    const limitedPerMs = this.usableRunners(ticket, nowMs).reduce(
       (sum, {limitPerS, startsPerMs}) =>
         limitPerS === undefined ? sum : sum + startsPerMs,
       0,
     );
-    return this.limitedStartsPerMs;
+    this.limitedStartsByRegions.set(key, limitedPerMs);
+    return limitedPerMs;
   }
 
-  /** Returns the reference requests that the cell serves in a millisecond. */
+  /** Returns the reference requests that the runners of the ticket's regions serve in a millisecond. */
   private capacity(ticket: tickets.Ticket, nowMs: number): number {
-    this.capacityPerMs ??= this.usableRunners(ticket, nowMs).reduce(
-      (sum, {pace, startsPerMs, server: {slotTokens, maxRunning}}) => {
-        const tokens = REFERENCE_PROMPT_TOKENS + REFERENCE_OUTPUT_TOKENS;
-        const share = Math.max(tokens / slotTokens, 1 / maxRunning);
-        const ownMs = paces.expectedMs(
-          pace,
-          REFERENCE_PROMPT_TOKENS,
-          REFERENCE_OUTPUT_TOKENS,
-        );
-        return sum + Math.min(1 / (Math.max(1, ownMs) * share), startsPerMs);
-      },
-      0,
-    );
-    return this.capacityPerMs;
+    const key = regions.keyOf(ticket.allowedRegions);
+    const known = this.capacityByRegions.get(key);
+    if (known !== undefined) return known;
+    const capacityPerMs = capacityOf(this.usableRunners(ticket, nowMs));
+    this.capacityByRegions.set(key, capacityPerMs);
+    return capacityPerMs;
   }
 
   private newCellTimeMs(ticket: tickets.Ticket, nowMs: number): number {
@@ -114,6 +114,8 @@
 
   /** Returns the expected wait of a new ticket: the time for the work ahead on the capacity that overtaking arrivals leave. */
   waitMs(ticket: tickets.Ticket, nowMs: number): number {
+    if (this.isRegional(ticket, nowMs))
+      return this.regionalWaitMs(ticket, nowMs);
     const usable = this.usableRunners(ticket, nowMs);
     const ahead = this.waiting.filter(
       other => priority.compareTickets(other, ticket, nowMs) <= 0,
@@ -135,6 +137,9 @@
     const sorted = [...this.waiting].sort((a, b) =>
       priority.compareTickets(a, b, nowMs),
     );
+    if (sorted.length > 0 && this.isRegional(sorted[0], nowMs)) {
+      return this.regionalWaits(sorted, nowMs);
+    }
     let aheadMs = 0;
     return sorted.map(ticket => {
       const waitMs = this.withOvertaking(ticket, aheadMs, nowMs);
@@ -157,14 +162,140 @@
     ticket: tickets.Ticket,
     workMs: number,
     nowMs: number,
+    load = this.arrivalLoad,
   ): number {
-    const higher = this.arrivalLoad.ofHigherClasses(ticket, nowMs);
+    if (workMs === 0) return 0;
+    const higher = load.ofHigherClasses(ticket, nowMs);
     const waitMs = workMs / Math.max(MIN_REMAINING_FRACTION, 1 - higher);
     if (nowMs + waitMs <= ticket.onTimeByMs) return waitMs;
-    const overtaking = higher + this.arrivalLoad.ofOwnClass(ticket, nowMs);
+    const overtaking = higher + load.ofOwnClass(ticket, nowMs);
     return workMs / Math.max(MIN_REMAINING_FRACTION, 1 - overtaking);
   }
 
+  /** True if the ticket's wait depends on regions: the cell has several, and the ticket, a waiting one or a recent arrival may use only some. */
+  private isRegional(ticket: tickets.Ticket, nowMs: number): boolean {
+    this.isRegionalKnown ??=
+      this.arrivalLoad.hasRegionalLoad(nowMs) ||
+      this.waiting.some(({allowedRegions}) => allowedRegions !== undefined);
+    if (!this.isRegionalKnown && ticket.allowedRegions === undefined) {
+      return false;
+    }
+    const [first, ...others] = this.runners.values();
+    return others.some(({server}) => server.region !== first.server.region);
+  }
+
+  /** Returns the regions of the usable runners of a ticket. */
+  private usableRegions(
+    ticket: tickets.Ticket,
+    nowMs: number,
+  ): readonly string[] {
+    const kind = kindOf(ticket);
+    const known = this.regionsByKind.get(kind);
+    if (known) return known;
+    const usable = this.usableRunners(ticket, nowMs);
+    const found = [...new Set(usable.map(({server}) => server.region))];
+    this.regionsByKind.set(kind, found);
+    return found;
+  }
+
+  private loadIn(region: string, nowMs: number): arrivalload.ArrivalLoad {
+    const known = this.loadByRegion.get(region);
+    if (known) return known;
+    const load = this.arrivalLoad.in(region, nowMs);
+    this.loadByRegion.set(region, load);
+    return load;
+  }
+
+  /** Returns the expected wait of a new ticket in the region where it starts first. */
+  private regionalWaitMs(ticket: tickets.Ticket, nowMs: number): number {
+    const backlog = this.backlog(
+      of => this.freeMsOf(of, ticket, nowMs),
+      {...ticket, allowedRegions: undefined},
+      nowMs,
+    );
+    const ahead = this.waiting.filter(
+      other => priority.compareTickets(other, ticket, nowMs) <= 0,
+    );
+    // Tickets with a choice go where those without one leave room.
+    const hasChoice = (t: tickets.Ticket) => t.allowedRegions === undefined;
+    for (const other of ahead) {
+      if (!hasChoice(other)) this.addWork(backlog, other, nowMs);
+    }
+    for (const other of ahead) {
+      if (hasChoice(other)) this.addWork(backlog, other, nowMs);
+    }
+    return this.leastWaitMs(backlog, ticket, nowMs);
+  }
+
+  /** Returns the expected waits of sorted tickets, each in the region where it starts first. */
+  private regionalWaits(
+    sorted: readonly tickets.Ticket[],
+    nowMs: number,
+  ): readonly {readonly ticket: tickets.Ticket; readonly waitMs: number}[] {
+    const [first] = sorted;
+    const any = {...first, version: '', allowedRegions: undefined};
+    const backlog = this.backlog(() => 0, any, nowMs);
+    return sorted.map(ticket => {
+      const waitMs = this.leastWaitMs(backlog, ticket, nowMs);
+      this.addWork(backlog, ticket, nowMs);
+      return {ticket, waitMs};
+    });
+  }
+
+  /** Returns an empty backlog of the regions of the runners that serve `any`. */
+  private backlog(
+    freeMs: (of: readonly runners.Runner[]) => number,
+    any: tickets.Ticket,
+    nowMs: number,
+  ): regionwaits.RegionBacklog {
+    const capacities = new Map<string, regionwaits.RegionCapacity>();
+    for (const [region, of] of groupByRegion(this.usableRunners(any, nowMs))) {
+      const capacityPerMs = capacityOf(of);
+      capacities.set(region, {capacityPerMs, freeMs: freeMs(of)});
+    }
+    return new regionwaits.RegionBacklog(capacities);
+  }
+
+  private freeMsOf(
+    of: readonly runners.Runner[],
+    ticket: tickets.Ticket,
+    nowMs: number,
+  ): number {
+    const fitsNow = of.some(runner => runner.fits(ticket, nowMs));
+    return fitsNow ? 0 : this.nextFreeMs(of, nowMs);
+  }
+
+  /** Adds the work of a waiting ticket to a backlog. */
+  private addWork(
+    backlog: regionwaits.RegionBacklog,
+    ticket: tickets.Ticket,
+    nowMs: number,
+  ): void {
+    const capacityPerMs =
+      ticket.version === ''
+        ? this.capacity(ticket, nowMs)
+        : capacityOf(this.usableRunners(ticket, nowMs));
+    const work = this.cellTimeMs(ticket, nowMs) * capacityPerMs;
+    backlog.add(work, this.usableRegions(ticket, nowMs));
+  }
+
+  /** Returns the expected wait in the region in which the ticket starts first. */
+
+  private leastWaitMs(
+    backlog: regionwaits.RegionBacklog,
+    ticket: tickets.Ticket,
+    nowMs: number,
+  ): number {
+    let leastMs = Infinity;
+    for (const region of this.usableRegions(ticket, nowMs)) {
+      const load = this.loadIn(region, nowMs);
+      const workMs = backlog.waitMs(region);
+      const waitMs = this.withOvertaking(ticket, workMs, nowMs, load);
+      leastMs = Math.min(leastMs, waitMs);
+    }
+    return leastMs === Infinity ? 0 : leastMs;
+  }
+
   /** Returns the expected time until the first slot becomes free, or the first start that a limit allows where a slot is free. */
   private nextFreeMs(usable: readonly runners.Runner[], nowMs: number): number {
     const byName = new Map(usable.map(r => [r.name, r]));
@@ -183,3 +314,40 @@
     return soonestMs === Infinity ? 0 : soonestMs;
   }
 }
+
+/** Returns a key that is equal for tickets that the same runners serve. */
+function kindOf({version, allowedRegions}: tickets.Ticket): string {
+  return allowedRegions === undefined
+    ? version
+    : `${regions.keyOf(allowedRegions)}${version}`;
+}
+
+/** Returns the reference requests that runners serve in a millisecond. */
+function capacityOf(usable: readonly runners.Runner[]): number {
+  return usable.reduce(
+    (sum, {pace, startsPerMs, server: {slotTokens, maxRunning}}) => {
+      const tokens = REFERENCE_PROMPT_TOKENS + REFERENCE_OUTPUT_TOKENS;
+      const share = Math.max(tokens / slotTokens, 1 / maxRunning);
+      const ownMs = paces.expectedMs(
+        pace,
+        REFERENCE_PROMPT_TOKENS,
+        REFERENCE_OUTPUT_TOKENS,
+      );
+      return sum + Math.min(1 / (Math.max(1, ownMs) * share), startsPerMs);
+    },
+    0,
+  );
+}
+
+function groupByRegion(
+  all: readonly runners.Runner[],
+): ReadonlyMap<string, readonly runners.Runner[]> {
+  const groups = new Map<string, runners.Runner[]>();
+  for (const runner of all) {
+    const {region} = runner.server;
+    const group = groups.get(region);
+    if (group) group.push(runner);
+    else groups.set(region, [runner]);
+  }
+  return groups;
+}
--- a/packages/fleet/src/fallback.ts
+++ b/packages/fleet/src/fallback.ts
@@ -1,4 +1,4 @@
-import type * as decisions from '@banyanhall/decisions';
+import * as decisions from '@banyanhall/decisions';
 
 import type * as slotsModule from './slots.js';
 
@@ -14,7 +14,8 @@
 
 /**
  * Chooses the backend server of whose slots this host holds the smallest
- * fraction; used while the keeper does not answer. None for a suspect request,
+ * fraction, in the regions that the request may use; used while the keeper does
+ * not answer. None for a suspect request,
  * and none that states a limit, since only the keeper knows what else runs
  * there and what other hosts send.
  */
@@ -24,7 +25,9 @@
 ): decisions.config.BackendServer | undefined {
   if (slotRequest.isSuspect) return undefined;
   const {region, random, heldOn, limitPerSOf} = options;
-  const scored = slotRequest.service.backendServers
+  const {backendServers} = slotRequest.service;
+  const scored = decisions.regions
+    .only(backendServers, slotRequest.allowedRegions)
     .filter(server => limitPerSOf(server.name) === undefined)
     .map(server => ({
       server,
--- a/packages/fleet/src/keeper.ts
+++ b/packages/fleet/src/keeper.ts
@@ -250,6 +250,7 @@
       ...wire,
       host,
       tier: wire.tier as decisions.config.Tier,
+      allowedRegions: decisions.regions.fromWire(wire),
       deadlineMs: nowMs + wire.remainingMs,
       firstByMs: nowMs + wire.firstWithinMs,
       onTimeByMs: nowMs + wire.onTimeWithinMs,
--- a/packages/fleet/src/slots.ts
+++ b/packages/fleet/src/slots.ts
@@ -17,6 +17,9 @@
 /** The most cells that a request of the lowest tier tries; those of higher tiers try all before they are refused. */
 const LOWEST_TIER_MAX_CELLS = 2;
 
+/** The retry delay of a request whose keeper granted it only slots in regions that it may not use. */
+const OUTSIDE_RETRY_MS = 1000;
+
 /** Tiers are numbered from 1, the highest. */
 const LOWEST_TIER = decisions.config.TIERS.length;
 
@@ -44,6 +47,8 @@
   readonly isSuspect: boolean;
   /** True if the request goes on without a slot, so that others are not refused for it; undefined means false. */
   readonly isOptional?: boolean;
+  /** The regions of the backend servers that may be used; undefined means all, an empty list none. */
+  readonly allowedRegions?: readonly string[];
   /** Backend servers where earlier attempts failed. */
   readonly avoid?: readonly string[];
 }
@@ -258,9 +263,13 @@
       this.options.router.send(from, {kind: 'withdraw', body});
       return;
     }
-    this.pending.delete(grant.ticketId);
     const {slotRequest, cell} = pending;
     const server = this.findServer(slotRequest.service, grant.runner);
+    const {allowedRegions} = slotRequest;
+    if (server && !decisions.regions.isAllowed(allowedRegions, server.region)) {
+      return this.returnGrant(pending, server);
+    }
+    this.pending.delete(grant.ticketId);
     const grantedMs = this.options.clock.monotonicMs();
     this.held.set(grant.ticketId, {
       cell,
@@ -276,6 +285,27 @@
     pending.reject(failed(REFUSAL_FAILURES['no-runner'](0)));
   }
 
+  /**
+   * Gives back a grant in a region that the request may not use, as of a keeper
+   * of an older version, and assigns a slot without the keeper, which would
+   * grant the same again.
+   */
+  private returnGrant(
+    pending: PendingRequest,
+    {name, region}: decisions.config.BackendServer,
+  ): void {
+    const {slotRequest, keeper} = pending;
+    const {requestId: ticketId, allowedRegions} = slotRequest;
+    this.options.timeline.record('outside-regions', ticketId, {
+      ...{keeper, server: name, region},
+      allowedRegions: (allowedRegions ?? []).join(' '),
+    });
+    if (this.assignWithoutKeeper(pending)) return;
+    this.withdraw(ticketId);
+    const failure = REFUSAL_FAILURES.overloaded(OUTSIDE_RETRY_MS);
+    pending.reject(failed(failure));
+  }
+
   /** Finds a backend server, which may have been added to the service while the request waited. */
   private findServer(
     service: decisions.config.Service,
@@ -444,17 +474,20 @@
     this.reportedWaits.set(cell, {waitMs, atMs});
   }
 
-  /** Returns the cells that a request may use, in order. Suspect requests all use the same one, which runs one at a time. */
-  private cellsFor({service, isSuspect}: SlotRequest): readonly string[] {
-    if (!isSuspect) return this.cellsByWait(service);
-    const [first] = decisions.celltopology.cellsOf(service);
-    return [decisions.celltopology.cellName(first)];
+  /** Returns the cells that a request may use, in order. Suspect requests of the same regions all use the same one, which runs one at a time. */
+  private cellsFor(slotRequest: SlotRequest): readonly string[] {
+    const {service, isSuspect, allowedRegions} = slotRequest;
+    const cells = decisions.regions.cellsIn(service, allowedRegions);
+    if (!isSuspect) return this.cellsByWait(cells);
+    return cells.slice(0, 1).map(decisions.celltopology.cellName);
   }
 
-  /** Returns the cells of a service by reported wait, shortest first; cells in other zones get a penalty. */
-  private cellsByWait(service: decisions.config.Service): readonly string[] {
+  /** Returns cells by reported wait, shortest first; cells in other zones get a penalty. */
+  private cellsByWait(
+    cells: readonly decisions.celltopology.CellKey[],
+  ): readonly string[] {
     const nowMs = this.options.clock.monotonicMs();
-    const scored = decisions.celltopology.cellsOf(service).map(key => {
+    const scored = cells.map(key => {
       const cell = decisions.celltopology.cellName(key);
       const reported = this.reportedWaits.get(cell);
       const isKnown = reported && nowMs - reported.atMs < REPORTED_WAIT_TTL_MS;
@@ -488,6 +521,7 @@
       avoid: slotRequest.avoid ?? [],
       urgency: slotRequest.urgency ?? 0,
       region: this.options.region,
+      ...decisions.regions.toWire(slotRequest.allowedRegions),
     };
   }
 }
--- a/packages/fleet/src/timeline.ts
+++ b/packages/fleet/src/timeline.ts
@@ -6,13 +6,15 @@
 /**
  * What an event reports. The kinds from `received` to `refused` are steps of
  * one request; `asked` means that a slot request was sent to a keeper, `alone`
- * that a slot was assigned without the keeper, and `broken` that a response
- * ended early. The other kinds are about the host.
+ * that a slot was assigned without the keeper, `outside-regions` that a keeper
+ * granted one in a region that the request may not use, and `broken` that a
+ * response ended early. The other kinds are about the host.
  */
 export type EventKind =
   | 'received'
   | 'asked'
   | 'alone'
+  | 'outside-regions'
   | 'granted'
   | 'claimed'
   | 'dispatched'
--- a/packages/forwarding/src/carriers.ts
+++ b/packages/forwarding/src/carriers.ts
@@ -22,10 +22,11 @@
 
 /** The hosts through which a backend server may be reached. */
 export interface Carriers {
-  /** Starts a connection through the best host that has not been tried; undefined if none is left. */
+  /** Starts a connection through the best host that has not been tried, in a region that is allowed; undefined if none is left. */
   readonly open: (
     address: string,
     tried: ReadonlySet<string>,
+    allowedRegions?: readonly string[],
   ) => CarriedConnection | undefined;
   /** Tells why a connection failed. */
   readonly failureOf: (error: Error) => CarrierFailure;
@@ -47,6 +48,8 @@
 export interface CarrierSearchOptions {
   readonly carriers: Carriers;
   readonly address: string;
+  /** The regions of the hosts that may be tried; undefined means all. */
+  readonly allowedRegions?: readonly string[];
   /** Resolves to whether a connection that stands will do. */
   readonly accept: (connection: stream.Duplex) => Promise<boolean>;
   readonly onEnd: (result: CarrierResult) => void;
@@ -81,7 +84,7 @@
 
   private tryNext(): void {
     clearTimeout(this.timer);
-    const {carriers, address} = this.options;
+    const {carriers, address, allowedRegions} = this.options;
     const isCertain =
       this.failure === 'unreachable' &&
       performance.now() - this.startMs >= MIN_SEARCH_MS;
@@ -89,10 +92,13 @@
       !isCertain &&
       this.pending.size < MAX_CONNECTING &&
       this.tried.size < MAX_TRIED;
-    const next = mayTry ? carriers.open(address, this.tried) : undefined;
+    const next = mayTry
+      ? carriers.open(address, this.tried, allowedRegions)
+      : undefined;
     if (!next) {
-      // Without another host its own view is all that a host has.
-      if (this.pending.size === 0) this.fail('unreachable');
+      // Without another host its own view is all that a host has, unless there are some that it may not use.
+      const byDefault = allowedRegions ? 'unknown' : 'unreachable';
+      if (this.pending.size === 0) this.fail(byDefault);
       return;
     }
     this.tried.add(next.host);
--- a/packages/forwarding/src/connections.ts
+++ b/packages/forwarding/src/connections.ts
@@ -2,6 +2,8 @@
 import type * as net from 'node:net';
 import type * as stream from 'node:stream';
 
+import * as decisions from '@banyanhall/decisions';
+
 import type * as paths from './paths.js';
 
 /** A connection through another host, which has no timer of its own for idle times. */
@@ -12,6 +14,12 @@
   stopIdle(): void;
 }
 
+/** The options of a request over the paths to backend servers. */
+export interface PathRequestArgs extends http.ClientRequestArgs {
+  /** The regions of the hosts through which it may be sent; undefined means all. */
+  readonly allowedRegions?: readonly string[];
+}
+
 /** Opens connections over the paths to backend servers; without paths, directly. */
 class PathAgent extends http.Agent {
   /**
@@ -28,22 +36,32 @@
   }
 
   override createConnection(
-    options: http.ClientRequestArgs,
+    options: PathRequestArgs,
     callback?: (error: Error | null, connection: stream.Duplex) => void,
   ): stream.Duplex | null | undefined {
     if (!this.paths || !callback) {
       return super.createConnection(options, callback);
     }
-    const {host, port} = options;
+    const {host, port, allowedRegions} = options;
     const target = options as net.TcpNetConnectOpts;
     const address = `${host}:${port}`;
-    this.paths.dial(address, target, (error, connection) => {
+    const onDone: paths.DialCallback = (error, connection) => {
       if (connection) this.addresses.set(connection, address);
       callback(error, connection as stream.Duplex);
-    });
+    };
+    this.paths.dial(address, target, onDone, allowedRegions);
     return undefined;
   }
 
+  /** Keeps connections apart by the regions that requests may use, as a kept one may lead through a host that others must not use. */
+  override getName(options?: PathRequestArgs): string {
+    const name = super.getName(options as Parameters<http.Agent['getName']>[0]);
+    const allowedRegions = options?.allowedRegions;
+    return allowedRegions === undefined
+      ? name
+      : `${name}${decisions.regions.keyOf(allowedRegions)}`;
+  }
+
   /** The backend server that a connection leads to; empty without paths. */
   protected addressOf(connection: stream.Duplex): string {
     return this.addresses.get(connection) ?? '';
--- a/packages/forwarding/src/paths.ts
+++ b/packages/forwarding/src/paths.ts
@@ -154,20 +154,31 @@
     return found.kind === 'failed' && found.failure === 'unreachable';
   }
 
-  /** Opens a connection to the backend server at `address`, by way of another host where this one's link is cut. */
+  /** Opens a connection to the backend server at `address`, by way of another host where this one's link is cut; only of one in `allowedRegions`, if they are given. */
   dial(
     address: string,
     options: net.NetConnectOpts,
     onDone: DialCallback,
+    allowedRegions?: readonly string[],
   ): void {
     const path = this.pathTo(address);
     new Dialing({
       isCut: path.cutMs !== undefined,
       mayAsk: this.nowMs >= path.askAgainMs,
       connect: () => this.connect(options),
-      search: onEnd => this.search(address, () => Promise.resolve(true), onEnd),
+      search: onEnd =>
+        this.search(
+          ...([address, () => Promise.resolve(true), onEnd] as const),
+          allowedRegions,
+        ),
       onDone,
-      onUnreachable: failure => this.setUnreachable(path, failure),
+      onUnreachable: failure => {
+        // What some hosts could not tell, others may; asking them sends nothing of the request.
+        const isOpen =
+          allowedRegions !== undefined && failure !== 'unreachable';
+        if (isOpen) void this.examine(address);
+        else this.setUnreachable(path, failure);
+      },
       onLinkFailed: result => this.setCut(path, result),
     }).start();
   }
@@ -217,9 +228,11 @@
     address: string,
     accept: (connection: stream.Duplex) => Promise<boolean>,
     onEnd: (result: carriers.CarrierResult) => void,
+    allowedRegions?: readonly string[],
   ): carriers.CarrierSearch {
     const search = new carriers.CarrierSearch({
       ...{carriers: this.options.carriers, address, accept, onEnd},
+      allowedRegions,
     });
     search.start();
     return search;
@@ -448,7 +461,9 @@
     clearTimeout(this.headStart);
     if (this.hasSearched) return this.failIfOver();
     this.hasSearched = true;
-    this.searching = this.options.search(result => {
+    let hasEnded = false;
+    const search = this.options.search(result => {
+      hasEnded = true;
       this.searching = undefined;
       if (result.kind === 'connected') {
         if (this.ownError) this.reportLink('refused');
@@ -464,6 +479,8 @@
       if (!this.own && !this.ownError) return this.connect();
       this.failIfOver();
     });
+    // Without a host to try, the search ends before it is returned.
+    if (!hasEnded) this.searching = search;
   }
 
   private failIfOver(): void {
--- a/packages/forwarding/src/upstream.ts
+++ b/packages/forwarding/src/upstream.ts
@@ -56,6 +56,8 @@
   readonly requestId: string;
   /** True when the request was sent to this backend server before. */
   readonly isRepeat: boolean;
+  /** The regions of the hosts through which it may be sent; undefined means all. */
+  readonly allowedRegions?: readonly string[];
   /** What the backend server is known to state; holds if its answer can't be read. */
   readonly known?: statementReaders.KnownStatements;
   /** Called when the connection is established, by way of another host if `isCarried`: from then on the backend server may run the request. */
@@ -283,7 +285,7 @@
 
   private open(outbound: OutboundRequest): http.ClientRequest {
     const [host, port] = outbound.address.split(':');
-    return http.request({
+    const options: connections.PathRequestArgs = {
       agent: outbound.isRepeat ? this.singleUse : this.kept,
       host,
       port: Number(port),
@@ -291,7 +293,9 @@
       path: outbound.path,
       headers: outbound.headers as string[],
       setHost: false,
-    });
+      allowedRegions: outbound.allowedRegions,
+    };
+    return http.request(options);
   }
 
   /** Closes the idle connections to a backend server, whose path has changed. */
--- a/packages/gateway/src/addresses.ts
+++ b/packages/gateway/src/addresses.ts
@@ -2,6 +2,7 @@
  * Selects the hosts that the address endpoint returns to a caller.
  */
 import * as decisions from '@banyanhall/decisions';
+import type * as routing from '@banyanhall/routing';
 
 const MAX_ADDRESSES = 64;
 /** With this many hosts in the caller's zone, or else its region, no farther hosts are returned. */
@@ -13,6 +14,8 @@
 
 /** A caller's query for host addresses. */
 export interface AddressQuery {
+  /** The host name of the routes that the caller uses; empty if it does not state it. */
+  readonly name: string;
   readonly zone: string;
   readonly region: string;
   /** Identifies the caller; the same value gets the same hosts on every query. */
@@ -46,6 +49,22 @@
   }
 }
 
+/**
+ * Selects the hosts returned to a caller. Callers of a name whose routes allow
+ * only some regions get hosts of these and of their own, even where all of them
+ * are cut off.
+ */
+export function hostsForCaller(
+  serving: readonly decisions.membership.Member[],
+  query: AddressQuery,
+  cutOff: CutOffHosts,
+  configuration: routing.configuration.Configuration | undefined,
+): readonly decisions.membership.Member[] {
+  const allowed = configuration?.regionsOfName(query.name);
+  const near = decisions.regions.hostsFor(serving, query.region, allowed);
+  return selectHosts(cutOff.usable(near), query);
+}
+
 /**
  * Selects the hosts returned to a caller, nearby ones if there are enough.
  * Callers spread connections evenly over the returned hosts, so when hosts
@@ -53,7 +72,7 @@
  */
 export function selectHosts(
   serving: readonly decisions.membership.Member[],
-  {zone, region, caller}: AddressQuery,
+  {zone, region, caller}: Omit<AddressQuery, 'name'>,
 ): readonly decisions.membership.Member[] {
   const inZone = serving.filter(member => member.zone === zone);
   const inRegion = serving.filter(member => member.region === region);
--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -11,8 +11,10 @@
 import type * as fleetlimits from './fleetlimits.js';
 import type * as callerresponses from './callerresponse.js';
 import * as directories from './directory.js';
+import * as failures from './failures.js';
 import type * as logs from './logs.js';
 import type * as metrics from './metrics.js';
+import * as regionsModule from './regions.js';
 import * as requests from './request.js';
 import type * as rollouts from './rollouts.js';
 import * as shutdowns from './shutdown.js';
@@ -26,8 +28,6 @@
 /** The time without a response after which an idempotent request is to be retried, as a multiple of its latency objective. */
 const RESPONSE_SILENCE_FACTOR = 2.5;
 const MIN_RESPONSE_SILENCE_MS = 300;
-/** How long the repeat of a silent attempt may run beside it; then one of them is ended. */
-const MAX_OVERLAP_MS = 250;
 /** The minimum time before the deadline for a retry. */
 const MIN_RETRY_TIME_MS = 60;
 /** An attempt without a first byte for this long counts against the backend server even if it ends because the caller disconnected or the deadline passed. */
@@ -59,6 +59,7 @@
   readonly statements: statementsModule.Statements;
   readonly fleetLimits: fleetlimits.FleetLimits;
   readonly rollouts: rollouts.Rollouts;
+  readonly regions: regionsModule.Regions;
   readonly shutdown: shutdowns.Shutdown;
   readonly log: logs.Log;
   readonly metrics: metrics.Metrics;
@@ -235,7 +236,7 @@
     signal: AbortSignal,
     charged: Promise<requests.Rejection | undefined>,
   ): Promise<RetryDecision> {
-    const {directory, slots, rollouts, metrics} = this.options;
+    const {directory, slots, rollouts, regions, metrics} = this.options;
     const {repeat} = progress;
     progress.repeat = undefined;
     if (repeat) {
@@ -243,9 +244,10 @@
         this.finish(repeat, accepted, caller, progress, signal),
       );
     }
-    const isCandidate = rollouts.usesCandidate(accepted.service);
-    const pool = directory.pool(accepted.service, isCandidate);
-    if (!pool) return this.giveUp(progress, 'no-backend-server');
+    const usesCandidate = rollouts.usesCandidate(accepted.service);
+    const choice = regions.poolFor(accepted, usesCandidate);
+    if (!choice) return this.giveUpWithoutServer(accepted, progress);
+    const {pool, isCandidate} = choice;
     progress.isWaiting = true;
     if (!this.options.shutdown.hasTimeFor(accepted)) {
       return this.giveUpForStop(progress);
@@ -263,8 +265,11 @@
       if (!(error instanceof decisions.verdict.FailureError)) throw error;
       const {type, retryAfterMs} = error.failure;
       const waitedMs = this.nowMs - accepted.received.arrivedMs;
-      const detail = `tier ${accepted.tier}, ${pool.backendServers.length} servers, waited ${Math.round(waitedMs)} ms${this.describeLimits(pool)}`;
+      const detail = `tier ${accepted.tier}, ${pool.backendServers.length} servers, waited ${Math.round(waitedMs)} ms${this.describeLimits(pool)}${regionsModule.describe(accepted)}`;
       if (signal.aborted) return this.endAborted(progress, signal, detail);
+      if (type === 'no-backend-server' && accepted.allowedRegions) {
+        return this.giveUpWithoutServer(accepted, progress, detail);
+      }
       return this.giveUp(progress, type, retryAfterMs, detail);
     }
     return this.withSlot(grant, async () => {
@@ -312,14 +317,21 @@
     progress: Progress,
     signal: AbortSignal,
   ): Promise<RetryDecision> {
+    if (!this.options.regions.allows(accepted, placement.entry)) {
+      this.release(placement);
+      progress.isRetryCounted = progress.attempts > 0;
+      return RETRY;
+    }
     const isTooLate = this.nowMs >= this.callerGivesUpMs(accepted, progress);
     if (accepted.deadlineMs - this.nowMs <= 1 || isTooLate) {
       this.release(placement);
       return this.deadlineExceeded(progress);
     }
     const attempt = this.begin(placement, accepted, progress);
-    if (attempt.number === 1)
+    if (attempt.number === 1) {
       this.options.fleetLimits.countFirstAttempt(accepted.service);
+      this.options.regions.countSend(accepted, attempt.entry);
+    }
     const opening = this.open(attempt, accepted, progress, signal);
     const sent = {...attempt, opening};
     return this.finish(sent, accepted, caller, progress, signal);
@@ -394,6 +406,7 @@
         requestId: received.id,
         isRepeat: attempt.isRepeat,
         known: {limit: limitPerS},
+        allowedRegions: accepted.allowedRegions,
         onConnected: isCarried => {
           attempt.way.isCarried = isCarried;
           onConnected?.();
@@ -505,6 +518,7 @@
       version: '',
       isSuspect: this.standingOf(accepted).status !== 'clear',
       avoid: progress.triedServers,
+      allowedRegions: accepted.allowedRegions,
     };
   }
 
@@ -554,7 +568,7 @@
     const placement = await this.secureRepeat(accepted, progress, signal);
     if (typeof placement === 'string') return {reason: placement};
     const attempt = this.begin(placement, accepted, progress);
-    const overlap = new OverlapTimer();
+    const overlap = new silences.OverlapTimer();
     const opening = this.open(attempt, accepted, progress, signal, () =>
       overlap.start(),
     );
@@ -594,13 +608,14 @@
     progress: Progress,
     signal: AbortSignal,
   ): Promise<Placement | string> {
-    const {directory, slots, rollouts, fleetLimits} = this.options;
+    const {directory, slots, rollouts, regions, fleetLimits} = this.options;
     const {service} = accepted;
     if (!this.couldRetryAfterRunning(accepted, progress)) return 'not-allowed';
     if (!fleetLimits.hasRetryLeft(service)) return 'no-retry-left';
-    const isCandidate = rollouts.usesCandidate(service);
-    const pool = directory.pool(service, isCandidate);
-    if (!pool) return 'no-backend-server';
+    const usesCandidate = rollouts.usesCandidate(service);
+    const choice = regions.poolFor(accepted, usesCandidate);
+    if (!choice) return 'no-backend-server';
+    const {pool, isCandidate} = choice;
     const slotRequest = {
       ...this.slotRequest(accepted, pool, progress),
       isOptional: true,
@@ -633,6 +648,7 @@
     const {status} = this.standingOf(accepted);
     return (
       !progress.triedServers.includes(entry.id) &&
+      this.options.regions.allows(accepted, entry) &&
       (status === 'clear' || (status === 'suspect' && isSuspect)) &&
       this.nowMs < this.callerGivesUpMs(accepted, progress) &&
       this.couldRetryAfterRunning(accepted, progress)
@@ -735,7 +751,7 @@
       response.headers[this.options.dialect.names.signature] !== undefined;
     if (!body || (isSuccess && !isSigned)) {
       head.cancel();
-      const failure = brokenResponse(
+      const failure = failures.brokenResponse(
         body ? 'no signature header' : 'response body ended early',
       );
       return this.handleFailure(accepted, progress, attempt, failure, signal);
@@ -799,7 +815,7 @@
     // A response without the signature header was not sent by a backend server.
     if (response.headers[this.options.dialect.names.signature] === undefined) {
       head.cancel();
-      const failure = brokenResponse('no signature header');
+      const failure = failures.brokenResponse('no signature header');
       return this.handleFailure(accepted, progress, attempt, failure, signal);
     }
     try {
@@ -846,7 +862,7 @@
       head.cancel();
       addPace();
       const detail = error instanceof Error ? error.message : String(error);
-      const failure = brokenResponse(detail);
+      const failure = failures.brokenResponse(detail);
       return this.handleFailure(accepted, progress, attempt, failure, signal);
     }
     addPace();
@@ -940,7 +956,9 @@
     if (hasCrashed) crashes.recordCrash(entry.id);
     slots.done(
       grant.ticketId,
-      isInDoubt ? {kind: 'cancelled'} : OUTCOMES[failure.cause](hasCrashed),
+      isInDoubt
+        ? {kind: 'cancelled'}
+        : failures.OUTCOMES[failure.cause](hasCrashed),
     );
     if (failure.cause === 'wrong-server') {
       directory.onServerEntry(entry.id, undefined);
@@ -961,8 +979,8 @@
   ): boolean {
     const {paths} = this.options;
     if (cause === 'connect-failed') return !paths.isUnreachable(entry.address);
-    if (way.isCarried) return CARRIER_FAILURES.has(cause);
-    return LINK_FAILURES.has(cause) && paths.isCut(entry.address);
+    if (way.isCarried) return failures.CARRIER_FAILURES.has(cause);
+    return failures.LINK_FAILURES.has(cause) && paths.isCut(entry.address);
   }
 
   /** True when a request may be retried now; the retry is then counted in the budget. */
@@ -1008,6 +1026,20 @@
     );
   }
 
+  /** Ends a request whose service has no backend server that it may use. */
+  private giveUpWithoutServer(
+    accepted: requests.AcceptedRequest,
+    progress: Progress,
+    detail = `after ${progress.attempts} attempts${regionsModule.describe(accepted)}`,
+  ): RetryDecision {
+    return accepted.allowedRegions === undefined
+      ? this.giveUp(progress, 'no-backend-server')
+      : this.giveUp(
+          ...([progress, requests.NO_SERVER_IN_REGIONS] as const),
+          ...([requests.NO_SERVER_IN_REGIONS_RETRY_AFTER_MS, detail] as const),
+        );
+  }
+
   /** Ends a request that a stopping host has too little time for. */
   private giveUpForStop(progress: Progress, detail?: string): RetryDecision {
     const {REASON, RETRY_AFTER_MS} = shutdowns;
@@ -1116,54 +1148,6 @@
   }
 }
 
-/** Limits how long a repeat may run beside the attempt that it repeats. */
-class OverlapTimer {
-  private timer: NodeJS.Timeout | undefined;
-  private onOverdue: (value: 'overdue') => void = () => undefined;
-  /** Resolves when the time is over. */
-  readonly overdue = new Promise<'overdue'>(resolve => {
-    this.onOverdue = resolve;
-  });
-
-  /** Starts the time: the repeat may run from now on. */
-  start(): void {
-    this.timer = setTimeout(this.onOverdue, MAX_OVERLAP_MS, 'overdue');
-  }
-
-  stop(): void {
-    clearTimeout(this.timer);
-  }
-}
-
-/** The failures that a broken link of this host causes as well as a backend server. */
-const LINK_FAILURES: ReadonlySet<forwarding.upstream.FailureCause> = new Set([
-  ...(['reset', 'cancelled', 'broken-answer'] as const),
-]);
-
-/** The same for the link to a host that carries an attempt, of which nothing says that it is broken. */
-const CARRIER_FAILURES: ReadonlySet<forwarding.upstream.FailureCause> = new Set(
-  ['reset', 'cancelled'] as const,
-);
-
-/** The outcome of an attempt, as reported to the keeper, by the cause of its failure. */
-const OUTCOMES: Readonly<
-  Record<
-    forwarding.upstream.FailureCause,
-    (hasCrashed: boolean) => decisions.runner.Outcome
-  >
-> = {
-  'invalid-request': () => ({kind: 'cancelled'}),
-  'connect-failed': () => ({kind: 'unreachable'}),
-  reset: hasCrashed => ({kind: hasCrashed ? 'crashed' : 'failed'}),
-  'broken-answer': hasCrashed => ({kind: hasCrashed ? 'crashed' : 'failed'}),
-  // The caller is still connected: this host gave up the attempt for its silence.
-  cancelled: () => ({kind: 'silent'}),
-  'timed-out': () => ({kind: 'failed'}),
-  'foreign-answer': () => ({kind: 'failed'}),
-  refused: () => ({kind: 'not-admitted', isLeaving: false}),
-  'wrong-server': () => ({kind: 'not-admitted', isLeaving: true}),
-};
-
 /** The requests on a backend server, running and waiting, by its own load report. */
 function inUseOf(
   load: forwarding.upstream.LoadReport | undefined,
@@ -1187,12 +1171,3 @@
 function ended(result: DispatchResult): RetryDecision {
   return {kind: 'ended', ended: result};
 }
-
-function brokenResponse(detail: string): forwarding.upstream.AttemptFailure {
-  const cause = 'broken-answer';
-  const verdict = 'may-have-run';
-  return {
-    ...{kind: 'failed', cause, verdict, status: 0, detail},
-    ...{load: undefined, statements: undefined},
-  };
-}
--- a/packages/gateway/src/host.ts
+++ b/packages/gateway/src/host.ts
@@ -32,6 +32,7 @@
 import * as logs from './logs.js';
 import * as looplag from './looplag.js';
 import * as metricsModule from './metrics.js';
+import * as regionsModule from './regions.js';
 import * as requests from './request.js';
 import * as rollouts from './rollouts.js';
 import * as shutdowns from './shutdown.js';
@@ -85,10 +86,10 @@
 /** The platform's formats of readiness checks, address queries and configurations; supplied by the platform adapter. */
 export interface PlatformFormats {
   readonly isReadinessCheck: (path: string) => boolean;
-  /** Parses the zone and region of an address query; undefined when the target is not one. */
+  /** Parses an address query; undefined when the target is not one. */
   readonly parseAddressQuery: (
     target: string,
-  ) => {readonly zone: string; readonly region: string} | undefined;
+  ) => Omit<addresses.AddressQuery, 'caller'> | undefined;
   readonly formatAddresses: (
     addresses: readonly Address[],
     ttlMs: number,
@@ -321,10 +322,14 @@
       noticeMs: ADDRESS_TTL_MS * ADDRESS_TTL_FACTOR,
     });
     const {slots, crashes, upstream, shutdown} = this;
+    const {regionByZone} = settings;
     this.dispatcher = new dispatchers.Dispatcher({
       ...{clock, dialect, directory, upstream, slots, crashes, log, metrics},
       ...{fleetLimits: this.fleetLimits, rollouts: this.rollouts},
       ...{statements: this.statements, shutdown, paths},
+      regions: new regionsModule.Regions({
+        ...{region, regionByZone, directory, metrics},
+      }),
     });
     router.connect(this.handlers());
     this.ingress = http.createServer(
@@ -410,6 +415,8 @@
       return;
     }
     if (!this.directory.onConfiguration(next, from)) return;
+    const {regionByZone} = this.options.settings;
+    regionsModule.reportMistakes(next, regionByZone, this.badInputs);
     this.configurationText = text;
     this.configurationSource = from;
     this.ingress.keepAliveTimeout = next.limits.idleTimeoutMs;
@@ -588,7 +595,9 @@
         typeof body === 'string'
           ? UNREAD_REJECTIONS[body]()
           : (this.rejectionForLag() ??
-            this.check(toReceivedRequest(request, id, body, arrivedMs, names)));
+            this.check(
+              requests.toReceived(request, id, body, arrivedMs, names),
+            ));
       if (checked.kind === 'accepted') {
         route = checked.route.name;
         result = await this.chargeAndDispatch(checked, caller, holding);
@@ -799,8 +808,10 @@
     );
     const caller = response.socket?.remoteAddress ?? '';
     this.cutOffHosts.onState(settings.host, this.paths.isCutOff);
-    const usable = this.cutOffHosts.usable(serving);
-    const selected = addresses.selectHosts(usable, {...query, caller});
+    const selected = addresses.hostsForCaller(
+      ...([serving, {...query, caller}, this.cutOffHosts] as const),
+      this.directory.configuration,
+    );
     const callerAddresses = selected.map(member => member.callerUrl);
     const body = formats.formatAddresses(callerAddresses, ADDRESS_TTL_MS);
     listeners.respond(response, 200, body, 'application/json');
@@ -900,6 +911,7 @@
   partition: 'host',
   keeper: 'host',
   alone: 'host',
+  'outside-regions': 'host',
   crash: 'suspect',
 };
 
@@ -932,27 +944,6 @@
   }
 }
 
-function toReceivedRequest(
-  request: http.IncomingMessage,
-  id: string,
-  body: Buffer,
-  arrivedMs: number,
-  names: forwarding.headers.HeaderNames,
-): requests.ReceivedRequest {
-  const timeoutMs = Number(
-    forwarding.headers.value(request.headers, names.remainingMs),
-  );
-  return {
-    ...{id, body, arrivedMs},
-    method: request.method ?? 'GET',
-    target: request.url ?? '/',
-    authority: request.headers.host ?? '',
-    headers: request.headers,
-    rawHeaders: request.rawHeaders,
-    callerTimeoutMs: timeoutMs > 0 ? timeoutMs : undefined,
-  };
-}
-
 function fingerprintOf(text: string, body: Buffer): string {
   return crypto.createHash('sha1').update(text).update(body).digest('base64');
 }
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -20,6 +20,11 @@
     'Sends beyond the first of a request, by service.',
     ['service'],
   );
+  readonly restrictedRequests = this.counter(
+    'banyanhall_restricted_requests_total',
+    'Requests that may use only some regions: first sent in the region of this host (home) or in another one (away), or refused without a backend server (none).',
+    ['served'],
+  );
   readonly storeCalls = this.counter(
     'banyanhall_store_calls_total',
     'Calls to the store by call and result.',
--- a/packages/gateway/src/request.test.ts
+++ b/packages/gateway/src/request.test.ts
@@ -35,12 +35,14 @@
         splits: [{service: 's', weight: 1}],
         ...{timeoutMs: 1000, objectiveMs: 200, callerPatienceMs: Infinity},
         ...{priority: 2, maxAttempts: 1},
+        allowedRegions: undefined,
       },
     ],
     services: [],
     accounts: priorities.map((priority, i) => ({
       ...{name: `t${i}`, keys: [`k${i}`], priority},
       ...{tokensPerS: 0, burstTokens: 0, plainTokens: 0},
+      allowedRegions: undefined,
     })),
     needsKeys: true,
     limits: {
--- a/packages/gateway/src/request.ts
+++ b/packages/gateway/src/request.ts
@@ -69,6 +69,30 @@
   readonly fingerprint: string;
   /** The service and the ids of the prompt parts that other requests may share: all but the last. */
   readonly sharedParts: readonly string[];
+  /** The regions of the backend servers that it may be sent to: those that its route and its account allow; undefined means all. */
+  readonly allowedRegions: readonly string[] | undefined;
+}
+
+/** Builds a request from what was read of it. */
+export function toReceived(
+  request: http.IncomingMessage,
+  id: string,
+  body: Buffer,
+  arrivedMs: number,
+  names: forwarding.headers.HeaderNames,
+): ReceivedRequest {
+  const timeoutMs = Number(
+    forwarding.headers.value(request.headers, names.remainingMs),
+  );
+  return {
+    ...{id, body, arrivedMs},
+    method: request.method ?? 'GET',
+    target: request.url ?? '/',
+    authority: request.headers.host ?? '',
+    headers: request.headers,
+    rawHeaders: request.rawHeaders,
+    callerTimeoutMs: timeoutMs > 0 ? timeoutMs : undefined,
+  };
 }
 
 /** A rejection by this host, sent to the caller as an error response. */
@@ -116,6 +140,13 @@
   const needsKey = configuration.fields.needsKeys && !route.isPublic;
   const account = key === undefined ? undefined : configuration.account(key);
   if (needsKey && !account) return rejection(401, 'unknown-key');
+  const allowedRegions = decisions.regions.intersection(
+    route.allowedRegions,
+    account?.allowedRegions,
+  );
+  if (allowedRegions?.length === 0) {
+    return rejectionWithoutRegion(route, account);
+  }
   const service = routing.configuration.pickSplit(route.splits, roll);
   const callerTimeoutMs = received.callerTimeoutMs ?? route.timeoutMs;
   const demand = dialect.parseDemand(received.headers);
@@ -125,7 +156,7 @@
   const text = `${account?.name ?? ''} ${received.method} ${received.target}`;
   return {
     kind: 'accepted',
-    ...{received, route, service, account, demand},
+    ...{received, route, service, account, demand, allowedRegions},
     tier: tierOf(accountPriority ?? route.priority),
     urgency: route.priority,
     deadlineMs: received.arrivedMs + Math.min(callerTimeoutMs, route.timeoutMs),
@@ -137,6 +168,25 @@
   };
 }
 
+/** The reason for which requests are rejected that have no backend server in a region that they may use. */
+export const NO_SERVER_IN_REGIONS = 'no-server-in-regions';
+/** Their retry-after time; only a new backend server or configuration helps. */
+export const NO_SERVER_IN_REGIONS_RETRY_AFTER_MS = 1000;
+
+/** Rejects a request whose route and account allow no region together. */
+function rejectionWithoutRegion(
+  route: routing.configuration.Route,
+  account: routing.configuration.Account | undefined,
+): Rejection {
+  const list = (regions: readonly string[] | undefined) =>
+    regions === undefined ? 'all' : `(${regions.join(' ')})`;
+  const detail = `regions of route ${list(route.allowedRegions)}, of account ${list(account?.allowedRegions)}`;
+  return rejection(
+    ...([503, NO_SERVER_IN_REGIONS] as const),
+    ...([NO_SERVER_IN_REGIONS_RETRY_AFTER_MS, detail] as const),
+  );
+}
+
 /** The most parts of a prompt that are compared with those of other requests. */
 const MAX_SHARED_PARTS = 64;
 
--- a/packages/gateway/src/silence.ts
+++ b/packages/gateway/src/silence.ts
@@ -6,6 +6,9 @@
 /** The pause between two tries to secure a repeat. */
 const RETRY_MS = 400;
 
+/** How long the repeat of a silent attempt may run beside it; then one of them is ended. */
+const MAX_OVERLAP_MS = 250;
+
 /** Dependencies of `SilenceWatch`; `Repeat` is what a repeat of the attempt needs. */
 export interface SilenceWatchOptions<Repeat> {
   /** How long an attempt may be silent before a repeat is secured, in milliseconds; Infinity when none is possible. */
@@ -77,3 +80,22 @@
     this.controller.abort(new Error('silent'));
   }
 }
+
+/** Limits how long a repeat may run beside the attempt that it repeats. */
+export class OverlapTimer {
+  private timer: NodeJS.Timeout | undefined;
+  private onOverdue: (value: 'overdue') => void = () => undefined;
+  /** Resolves when the time is over. */
+  readonly overdue = new Promise<'overdue'>(resolve => {
+    this.onOverdue = resolve;
+  });
+
+  /** Starts the time: the repeat may run from now on. */
+  start(): void {
+    this.timer = setTimeout(this.onOverdue, MAX_OVERLAP_MS, 'overdue');
+  }
+
+  stop(): void {
+    clearTimeout(this.timer);
+  }
+}
--- a/packages/gateway/src/tunnels.ts
+++ b/packages/gateway/src/tunnels.ts
@@ -71,13 +71,15 @@
     return this.openedCount;
   }
 
-  /** Opens a tunnel through the best host that has not been tried. */
+  /** Opens a tunnel through the best host that has not been tried, in a region that is allowed. */
   open(
     address: string,
     tried: ReadonlySet<string>,
+    allowedRegions?: readonly string[],
   ): forwarding.carriers.CarriedConnection | undefined {
     const {host: own, zone, random, links, serving} = this.options;
-    const [best] = serving()
+    const [best] = decisions.regions
+      .only(serving(), allowedRegions)
       .filter(({host}) => host !== own && !tried.has(host))
       .map(member => ({
         member,
--- a/packages/peers/src/messages.test.ts
+++ b/packages/peers/src/messages.test.ts
@@ -20,6 +20,8 @@
   onTimeWithinMs: 0,
   avoid: [],
   urgency: 0,
+  allowedRegions: [],
+  hasAllowedRegions: true,
 };
 
 test.test('zero and empty fields are present after decoding', () => {
--- a/packages/routing/src/configuration.test.ts
+++ b/packages/routing/src/configuration.test.ts
@@ -20,6 +20,7 @@
     priority: 0,
     maxAttempts: 1,
     isPublic: false,
+    allowedRegions: undefined,
     ...change,
   };
 }
@@ -32,6 +33,7 @@
   return {
     ...{name, keys, priority},
     ...{tokensPerS: 0, burstTokens: 0, plainTokens: 0},
+    allowedRegions: undefined,
   };
 }
 
--- a/packages/routing/src/configuration.ts
+++ b/packages/routing/src/configuration.ts
@@ -31,6 +31,8 @@
   readonly maxAttempts: number;
   /** True when requests need no API key even if the configuration defines accounts. */
   readonly isPublic: boolean;
+  /** The regions of the backend servers that requests may be sent to; undefined means all, an empty list none. */
+  readonly allowedRegions: readonly string[] | undefined;
 }
 
 /** Capacity limits of the backend servers of a service, as set by the operator. */
@@ -57,6 +59,8 @@
   readonly burstTokens: number;
   /** Tokens charged for a request that has no token count. */
   readonly plainTokens: number;
+  /** The same as for routes; a request is sent only to regions that both allow. */
+  readonly allowedRegions: readonly string[] | undefined;
 }
 
 /** Size and time limits for requests from callers. */
@@ -76,6 +80,8 @@
   /** False when the version defines no accounts; requests then need no API key. */
   readonly needsKeys: boolean;
   readonly limits: CallerLimits;
+  /** What could not be read of the restrictions to regions; they allow only what could. */
+  readonly regionMistakes?: readonly string[];
 }
 
 /** One immutable version of the configuration, with indexes by authority, API key and service. */
@@ -118,6 +124,15 @@
     return routes.find(route => path.startsWith(route.pathPrefix));
   }
 
+  /** Returns the regions that the restricted routes of `authority` allow, together; undefined without any. */
+  regionsOfName(authority: string): readonly string[] | undefined {
+    const routes = this.routesByAuthority.get(authority.toLowerCase()) ?? [];
+    const restricted = routes.filter(route => route.allowedRegions);
+    if (restricted.length === 0) return undefined;
+    const all = restricted.flatMap(route => route.allowedRegions ?? []);
+    return [...new Set(all)];
+  }
+
   /** Returns the account that an API key belongs to. */
   account(key: string): Account | undefined {
     return this.accountsByKey.get(key);
