--- a/packages/forwarding/src/paths.test.ts
+++ b/packages/forwarding/src/paths.test.ts
@@ -81,8 +81,10 @@
   const paths = new pathsModule.Paths({
     clock: decisions.clock.systemClock,
     carriers: {
-      open: (_, tried) => {
-        const index = network.others.findIndex((__, i) => !tried.has(`h${i}`));
+      open: (_, tried, allowedRegions) => {
+        const index = network.others.findIndex(
+          (__, i) => !tried.has(`h${i}`) && !allowedRegions?.includes('none'),
+        );
         if (index < 0) return undefined;
         asked.push(`h${index}`);
         const connection = open(network.others[index]);
@@ -100,11 +102,11 @@
   });
   started.push(paths);
   paths.start();
-  const dial = () =>
+  const dial = (allowedRegions?: readonly string[]) =>
     new Promise<stream.Duplex | Error>(resolve => {
-      paths.dial(ADDRESS, {port: 80}, (error, connection) =>
-        resolve(connection ?? (error as Error)),
-      );
+      const onDone: pathsModule.DialCallback = (error, connection) =>
+        resolve(connection ?? (error as Error));
+      paths.dial(ADDRESS, {port: 80}, onDone, allowedRegions);
     });
   return {network, opened, asked, changes, paths, dial};
 }
@@ -246,3 +248,15 @@
   await dial();
   assert.equal(paths.isUnreachable(ADDRESS), true);
 });
+
+// Guards against a server that counts as unreachable for all, as a restricted request found no host that may carry it.
+test.test('a request without a carrier accuses no server', async () => {
+  const {paths, dial} = create('refuse', ['open']);
+  const startMs = performance.now();
+  assert.ok((await dial(['none'])) instanceof Error);
+  assert.ok(!paths.isUnreachable(ADDRESS));
+  await waitUntil(() => paths.isCut(ADDRESS), 1000);
+  assert.ok((await dial(['none'])) instanceof Error);
+  assert.ok(performance.now() - startMs < 500);
+  assert.ok((await dial()) instanceof FakeConnection);
+});
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -22,7 +22,7 @@
   );
   readonly restrictedRequests = this.counter(
     'banyanhall_restricted_requests_total',
-    'Requests that may use only some regions: first sent in the region of this host (home) or in another one (away), or refused without a backend server (none).',
+    'Requests that may use only some regions: first sent in the region of this host (home) or in another one (away).',
     ['served'],
   );
   readonly storeCalls = this.counter(
