Cells without restricted tickets search the queue for none

An ask at 500 waiting tickets took 2 us more than before the restriction to regions, as each estimate searched the queue and looked up capacities by region.

--- a/packages/decisions/src/cell.ts
+++ b/packages/decisions/src/cell.ts
@@ -66,6 +66,8 @@
   /** The regions of the runners. */
   readonly regions: readonly string[];
   readonly waiting: readonly tickets.Ticket[];
+  /** True from the arrival of a ticket that is restricted to regions until a tick finds none waiting. */
+  readonly mayHaveRestricted: boolean;
   readonly running: ReadonlyMap<string, tickets.Grant>;
   /** The hosts that have not reported their grants; nothing is granted until all have, or until `recoverUntilMs`. */
   readonly unreportedHosts: ReadonlySet<string>;
@@ -110,6 +112,7 @@
       runners: new Map(),
       regions: [],
       waiting: [],
+      mayHaveRestricted: false,
       running: new Map(),
       unreportedHosts: new Set(hosts),
       recoverUntilMs: nowMs + RECOVERY_MS,
@@ -136,7 +139,10 @@
   /** The estimated waiting times in the current state. */
   get estimate(): waitestimate.WaitEstimate {
     const {runners: all, waiting, running, arrivalLoad} = this.fields;
-    return new waitestimate.WaitEstimate(all, waiting, running, arrivalLoad);
+    return new waitestimate.WaitEstimate(
+      ...([all, waiting, running, arrivalLoad] as const),
+      this.fields.mayHaveRestricted,
+    );
   }
 
   /** Returns true while the cell collects the reports of hosts and grants nothing. */
@@ -192,7 +198,11 @@
     const arrivalLoad = isEverywhere
       ? before.add(ticket, cellMs, nowMs)
       : before.addIn(this.regionsOf(ticket), ticket, cellMs, nowMs);
-    return this.withFields({arrivalLoad}).decide(ticket, estimate, nowMs);
+    const mayHaveRestricted =
+      this.fields.mayHaveRestricted || ticket.allowedRegions !== undefined;
+    return this.withFields({arrivalLoad, mayHaveRestricted}).decide(
+      ...([ticket, estimate, nowMs] as const),
+    );
   }
 
   /** Enqueues or refuses a new ticket that some runner serves; evicts another if the queue is full. */
@@ -224,8 +234,12 @@
     return enqueued.withoutWaiting(evicted.id).shed(evicted, waitMs, nowMs);
   }
 
+  /** True if some waiting ticket is restricted to regions. */
   private get hasRestricted(): boolean {
-    return this.fields.waiting.some(t => t.allowedRegions !== undefined);
+    const {mayHaveRestricted, waiting} = this.fields;
+    return (
+      mayHaveRestricted && waiting.some(t => t.allowedRegions !== undefined)
+    );
   }
 
   /** Returns the regions of the cell that a ticket may use. */
@@ -461,6 +475,9 @@
       estimate = cell.estimate;
       waiting = new Set(cell.waiting);
     }
+    if (cell.fields.mayHaveRestricted) {
+      cell = cell.withFields({mayHaveRestricted: cell.hasRestricted});
+    }
     return {cell, effects};
   }
 
--- a/packages/decisions/src/waitestimate.ts
+++ b/packages/decisions/src/waitestimate.ts
@@ -22,12 +22,20 @@
 /** The work of tickets as estimated when it was first needed under these limits; the speed of the runners changes more slowly than tickets wait. */
 const workByTicket = new WeakMap<tickets.Ticket, TicketWork>();
 
+/** What some runners can serve. */
+interface Capacity {
+  /** The reference requests in a millisecond. */
+  readonly capacityPerMs: number;
+  /** The sum of the limits of the runners that state one, in starts per millisecond. */
+  readonly startsPerMs: number;
+}
+
 /** Estimates the waiting times of tickets from a cell's runners and the work ahead at one moment; times are in milliseconds. */
 export class WaitEstimate {
-  /** The usable runners by version and regions; the other results by regions only. */
   private readonly usableByKind = new Map<string, readonly runners.Runner[]>();
-  private readonly capacityByRegions = new Map<string, number>();
-  private readonly limitedStartsByRegions = new Map<string, number>();
+  /** What is known of the runners for tickets without a restriction, and of those in some regions. */
+  private everywhere: Capacity | undefined;
+  private readonly capacityByRegions = new Map<string, Capacity>();
   private readonly regionsByKind = new Map<string, readonly string[]>();
   private readonly loadByRegion = new Map<string, arrivalload.ArrivalLoad>();
   private isRegionalKnown: boolean | undefined;
@@ -37,6 +45,8 @@
     private readonly waiting: readonly tickets.Ticket[],
     private readonly running: ReadonlyMap<string, tickets.Grant>,
     private readonly arrivalLoad = arrivalload.ArrivalLoad.none,
+    /** False if no waiting ticket is restricted to regions, so that they need not be searched. */
+    private readonly mayHaveRestricted = true,
   ) {}
 
   /** Returns the runners that serve the ticket and accept new work or, if there are none, those that are down and will be retried. */
@@ -66,9 +76,8 @@
   cellTimeMs(ticket: tickets.Ticket, nowMs: number): number {
     // Versions are served by some of the runners, so their tickets are not compared with the capacity of all.
     if (ticket.version !== '') return this.newCellTimeMs(ticket, nowMs);
-    const capacityPerMs = this.capacity(ticket, nowMs);
+    const {capacityPerMs, startsPerMs} = this.capacity(ticket, nowMs);
     if (capacityPerMs === 0) return 0;
-    const startsPerMs = this.limitedStarts(ticket, nowMs);
     let known = workByTicket.get(ticket);
     if (known?.startsPerMs !== startsPerMs) {
       const work = this.newCellTimeMs(ticket, nowMs) * capacityPerMs;
@@ -78,28 +87,19 @@
     return known.work / capacityPerMs;
   }
 
-  /** Returns the sum of the limits of the runners that state one, in starts per millisecond. */
-  private limitedStarts(ticket: tickets.Ticket, nowMs: number): number {
-    const key = regions.keyOf(ticket.allowedRegions);
-    const known = this.limitedStartsByRegions.get(key);
-    if (known !== undefined) return known;
-    const limitedPerMs = this.usableRunners(ticket, nowMs).reduce(
-      (sum, {limitPerS, startsPerMs}) =>
-        limitPerS === undefined ? sum : sum + startsPerMs,
-      0,
-    );
-    this.limitedStartsByRegions.set(key, limitedPerMs);
-    return limitedPerMs;
-  }
-
-  /** Returns the reference requests that the runners of the ticket's regions serve in a millisecond. */
-  private capacity(ticket: tickets.Ticket, nowMs: number): number {
-    const key = regions.keyOf(ticket.allowedRegions);
-    const known = this.capacityByRegions.get(key);
-    if (known !== undefined) return known;
-    const capacityPerMs = capacityOf(this.usableRunners(ticket, nowMs));
-    this.capacityByRegions.set(key, capacityPerMs);
-    return capacityPerMs;
+  /** Returns what the runners of the ticket's regions can serve. */
+  private capacity(ticket: tickets.Ticket, nowMs: number): Capacity {
+    const {allowedRegions} = ticket;
+    if (allowedRegions === undefined) {
+      this.everywhere ??= capacityOf(this.usableRunners(ticket, nowMs));
+      return this.everywhere;
+    }
+    const key = regions.keyOf(allowedRegions);
+    const known =
+      this.capacityByRegions.get(key) ??
+      capacityOf(this.usableRunners(ticket, nowMs));
+    this.capacityByRegions.set(key, known);
+    return known;
   }
 
   private newCellTimeMs(ticket: tickets.Ticket, nowMs: number): number {
@@ -176,7 +176,8 @@
   private isRegional(ticket: tickets.Ticket, nowMs: number): boolean {
     this.isRegionalKnown ??=
       this.arrivalLoad.hasRegionalLoad(nowMs) ||
-      this.waiting.some(({allowedRegions}) => allowedRegions !== undefined);
+      (this.mayHaveRestricted &&
+        this.waiting.some(({allowedRegions}) => allowedRegions !== undefined));
     if (!this.isRegionalKnown && ticket.allowedRegions === undefined) {
       return false;
     }
@@ -250,7 +251,7 @@
   ): regionwaits.RegionBacklog {
     const capacities = new Map<string, regionwaits.RegionCapacity>();
     for (const [region, of] of groupByRegion(this.usableRunners(any, nowMs))) {
-      const capacityPerMs = capacityOf(of);
+      const {capacityPerMs} = capacityOf(of);
       capacities.set(region, {capacityPerMs, freeMs: freeMs(of)});
     }
     return new regionwaits.RegionBacklog(capacities);
@@ -271,7 +272,7 @@
     ticket: tickets.Ticket,
     nowMs: number,
   ): void {
-    const capacityPerMs =
+    const {capacityPerMs} =
       ticket.version === ''
         ? this.capacity(ticket, nowMs)
         : capacityOf(this.usableRunners(ticket, nowMs));
@@ -322,21 +323,22 @@
     : `${regions.keyOf(allowedRegions)}${version}`;
 }
 
-/** Returns the reference requests that runners serve in a millisecond. */
-function capacityOf(usable: readonly runners.Runner[]): number {
-  return usable.reduce(
-    (sum, {pace, startsPerMs, server: {slotTokens, maxRunning}}) => {
-      const tokens = REFERENCE_PROMPT_TOKENS + REFERENCE_OUTPUT_TOKENS;
-      const share = Math.max(tokens / slotTokens, 1 / maxRunning);
-      const ownMs = paces.expectedMs(
-        pace,
-        REFERENCE_PROMPT_TOKENS,
-        REFERENCE_OUTPUT_TOKENS,
-      );
-      return sum + Math.min(1 / (Math.max(1, ownMs) * share), startsPerMs);
-    },
-    0,
-  );
+function capacityOf(usable: readonly runners.Runner[]): Capacity {
+  const tokens = REFERENCE_PROMPT_TOKENS + REFERENCE_OUTPUT_TOKENS;
+  let capacityPerMs = 0;
+  let limitedPerMs = 0;
+  for (const {pace, limitPerS, startsPerMs, server} of usable) {
+    const {slotTokens, maxRunning} = server;
+    const share = Math.max(tokens / slotTokens, 1 / maxRunning);
+    const ownMs = paces.expectedMs(
+      pace,
+      REFERENCE_PROMPT_TOKENS,
+      REFERENCE_OUTPUT_TOKENS,
+    );
+    capacityPerMs += Math.min(1 / (Math.max(1, ownMs) * share), startsPerMs);
+    if (limitPerS !== undefined) limitedPerMs += startsPerMs;
+  }
+  return {capacityPerMs, startsPerMs: limitedPerMs};
 }
 
 function groupByRegion(
