--- a/packages/decisions/src/regions.test.ts
+++ b/packages/decisions/src/regions.test.ts
@@ -158,6 +158,23 @@
   assert.ok(wait(['a']) > wait(['b']) && wait(['b']) > wait(['c']));
 });
 
+// Guards against tickets that could start at once and are refused, as others fill the queue for a region.
+test.test('a full queue for one region keeps out nobody elsewhere', () => {
+  let cell = cellIn(region => region);
+  const ask = (id: string, tier: 1 | 3, allowedRegions?: readonly string[]) => {
+    const asked = ticket(id, {tier, allowedRegions, deadlineMs: 1e9});
+    const applied = cell.apply({kind: 'ask', ticket: asked}, 0);
+    ({cell} = applied);
+    return applied.effects.map(effect => `${effect.kind} ${effect.ticket.id}`);
+  };
+  for (let i = 0; i < 4 + cells.MAX_WAITING_TICKETS; i++) {
+    ask(`x${i}`, 1, ['a']);
+  }
+  assert.equal(cell.waiting.length, cells.MAX_WAITING_TICKETS);
+  assert.deepEqual(ask('open', 3), ['grant open']);
+  assert.deepEqual(ask('late', 3, ['a']), ['refuse late']);
+});
+
 // Guards against tickets of regions whose last runner is gone that wait for their deadline.
 test.test('a ticket whose regions lose their runners is told at once', () => {
   let {cell} = cellIn(region => region).apply({kind: 'tick'}, 0);
--- a/packages/gateway/src/regions.test.ts
+++ b/packages/gateway/src/regions.test.ts
@@ -5,7 +5,9 @@
 import * as forwarding from '@banyanhall/forwarding';
 
 import * as addresses from './addresses.js';
+import * as badinputs from './badinputs.js';
 import * as dispatchers from './dispatcher.js';
+import type * as logs from './logs.js';
 import * as metrics from './metrics.js';
 import * as regionsModule from './regions.js';
 import type * as requests from './request.js';
@@ -99,3 +101,23 @@
   assert.equal(find([]), 'a');
   assert.equal(find(undefined), 'cc');
 });
+
+// Guards against a restriction that is not noticed to name no known region, or that fills the log.
+test.test('unknown regions are logged once for each content', () => {
+  const lines: logs.Fields[] = [];
+  const log = {
+    event: (_: string, __: string, fields = {}) => lines.push(fields),
+  };
+  const badInputs = new badinputs.BadInputs(log as never);
+  const report = (...allowedRegions: readonly string[]) => {
+    const fields = {routes: [{allowedRegions}], accounts: []};
+    const known = new Map([['z', 'a']]);
+    regionsModule.reportMistakes({fields} as never, known, badInputs);
+  };
+  report('a');
+  for (let i = 0; i < 3; i++) report('a', 'x');
+  assert.deepEqual(
+    lines.map(({detail}) => detail),
+    ['region x is not known'],
+  );
+});
