--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -11,9 +11,10 @@
 import type * as fleetlimits from './fleetlimits.js';
 import type * as callerresponses from './callerresponse.js';
 import * as directories from './directory.js';
+import * as failures from './failures.js';
 import type * as logs from './logs.js';
 import type * as metrics from './metrics.js';
-import * as outcomes from './outcomes.js';
+import * as regionsModule from './regions.js';
 import * as requests from './request.js';
 import type * as rollouts from './rollouts.js';
 import * as shutdowns from './shutdown.js';
@@ -27,8 +28,6 @@
 /** The time without a response after which an idempotent request is to be retried, as a multiple of its latency objective. */
 const RESPONSE_SILENCE_FACTOR = 2.5;
 const MIN_RESPONSE_SILENCE_MS = 300;
-/** How long the repeat of a silent attempt may run beside it; then one of them is ended. */
-const MAX_OVERLAP_MS = 250;
 /** The minimum time before the deadline for a retry. */
 const MIN_RETRY_TIME_MS = 60;
 /** An attempt without a first byte for this long counts against the backend server even if it ends because the caller disconnected or the deadline passed. */
@@ -60,6 +59,7 @@
   readonly statements: statementsModule.Statements;
   readonly fleetLimits: fleetlimits.FleetLimits;
   readonly rollouts: rollouts.Rollouts;
+  readonly regions: regionsModule.Regions;
   readonly shutdown: shutdowns.Shutdown;
   readonly log: logs.Log;
   readonly metrics: metrics.Metrics;
@@ -236,7 +236,7 @@
     signal: AbortSignal,
     charged: Promise<requests.Rejection | undefined>,
   ): Promise<RetryDecision> {
-    const {directory, slots, rollouts, metrics} = this.options;
+    const {directory, slots, rollouts, regions, metrics} = this.options;
     const {repeat} = progress;
     progress.repeat = undefined;
     if (repeat) {
@@ -244,9 +244,10 @@
         this.finish(repeat, accepted, caller, progress, signal),
       );
     }
-    const isCandidate = rollouts.usesCandidate(accepted.service);
-    const pool = directory.pool(accepted.service, isCandidate);
-    if (!pool) return this.giveUp(progress, 'no-backend-server');
+    const usesCandidate = rollouts.usesCandidate(accepted.service);
+    const choice = regions.poolFor(accepted, usesCandidate);
+    if (!choice) return this.giveUpWithoutServer(accepted, progress);
+    const {pool, isCandidate} = choice;
     progress.isWaiting = true;
     if (!this.options.shutdown.hasTimeFor(accepted)) {
       return this.giveUpForStop(progress);
@@ -264,8 +265,11 @@
       if (!(error instanceof decisions.verdict.FailureError)) throw error;
       const {type, retryAfterMs} = error.failure;
       const waitedMs = this.nowMs - accepted.received.arrivedMs;
-      const detail = `tier ${accepted.tier}, ${pool.backendServers.length} servers, waited ${Math.round(waitedMs)} ms${this.describeLimits(pool)}`;
+      const detail = `tier ${accepted.tier}, ${pool.backendServers.length} servers, waited ${Math.round(waitedMs)} ms${this.describeLimits(pool)}${regionsModule.describe(accepted)}`;
       if (signal.aborted) return this.endAborted(progress, signal, detail);
+      if (type === 'no-backend-server' && accepted.allowedRegions) {
+        return this.giveUpWithoutServer(accepted, progress, detail);
+      }
       return this.giveUp(progress, type, retryAfterMs, detail);
     }
     return this.withSlot(grant, async () => {
@@ -313,14 +317,21 @@
     progress: Progress,
     signal: AbortSignal,
   ): Promise<RetryDecision> {
+    if (!this.options.regions.allows(accepted, placement.entry)) {
+      this.release(placement);
+      progress.isRetryCounted = progress.attempts > 0;
+      return RETRY;
+    }
     const isTooLate = this.nowMs >= this.callerGivesUpMs(accepted, progress);
     if (accepted.deadlineMs - this.nowMs <= 1 || isTooLate) {
       this.release(placement);
       return this.deadlineExceeded(progress);
     }
     const attempt = this.begin(placement, accepted, progress);
-    if (attempt.number === 1)
+    if (attempt.number === 1) {
       this.options.fleetLimits.countFirstAttempt(accepted.service);
+      this.options.regions.countSend(accepted, attempt.entry);
+    }
     const opening = this.open(attempt, accepted, progress, signal);
     const sent = {...attempt, opening};
     return this.finish(sent, accepted, caller, progress, signal);
@@ -395,6 +406,7 @@
         requestId: received.id,
         isRepeat: attempt.isRepeat,
         known: {limit: limitPerS},
+        allowedRegions: accepted.allowedRegions,
         onConnected: isCarried => {
           attempt.way.isCarried = isCarried;
           onConnected?.();
@@ -506,6 +518,7 @@
       version: '',
       isSuspect: this.standingOf(accepted).status !== 'clear',
       avoid: progress.triedServers,
+      allowedRegions: accepted.allowedRegions,
     };
   }
 
@@ -555,7 +568,7 @@
     const placement = await this.secureRepeat(accepted, progress, signal);
     if (typeof placement === 'string') return {reason: placement};
     const attempt = this.begin(placement, accepted, progress);
-    const overlap = new OverlapTimer();
+    const overlap = new silences.OverlapTimer();
     const opening = this.open(attempt, accepted, progress, signal, () =>
       overlap.start(),
     );
@@ -595,13 +608,14 @@
     progress: Progress,
     signal: AbortSignal,
   ): Promise<Placement | string> {
-    const {directory, slots, rollouts, fleetLimits} = this.options;
+    const {directory, slots, rollouts, regions, fleetLimits} = this.options;
     const {service} = accepted;
     if (!this.couldRetryAfterRunning(accepted, progress)) return 'not-allowed';
     if (!fleetLimits.hasRetryLeft(service)) return 'no-retry-left';
-    const isCandidate = rollouts.usesCandidate(service);
-    const pool = directory.pool(service, isCandidate);
-    if (!pool) return 'no-backend-server';
+    const usesCandidate = rollouts.usesCandidate(service);
+    const choice = regions.poolFor(accepted, usesCandidate);
+    if (!choice) return 'no-backend-server';
+    const {pool, isCandidate} = choice;
     const slotRequest = {
       ...this.slotRequest(accepted, pool, progress),
       isOptional: true,
@@ -634,6 +648,7 @@
     const {status} = this.standingOf(accepted);
     return (
       !progress.triedServers.includes(entry.id) &&
+      this.options.regions.allows(accepted, entry) &&
       (status === 'clear' || (status === 'suspect' && isSuspect)) &&
       this.nowMs < this.callerGivesUpMs(accepted, progress) &&
       this.couldRetryAfterRunning(accepted, progress)
@@ -736,7 +751,7 @@
       response.headers[this.options.dialect.names.signature] !== undefined;
     if (!body || (isSuccess && !isSigned)) {
       head.cancel();
-      const failure = brokenResponse(
+      const failure = failures.brokenResponse(
         body ? 'no signature header' : 'response body ended early',
       );
       return this.handleFailure(accepted, progress, attempt, failure, signal);
@@ -800,7 +815,7 @@
     // A response without the signature header was not sent by a backend server.
     if (response.headers[this.options.dialect.names.signature] === undefined) {
       head.cancel();
-      const failure = brokenResponse('no signature header');
+      const failure = failures.brokenResponse('no signature header');
       return this.handleFailure(accepted, progress, attempt, failure, signal);
     }
     try {
@@ -847,7 +862,7 @@
       head.cancel();
       addPace();
       const detail = error instanceof Error ? error.message : String(error);
-      const failure = brokenResponse(detail);
+      const failure = failures.brokenResponse(detail);
       return this.handleFailure(accepted, progress, attempt, failure, signal);
     }
     addPace();
@@ -943,7 +958,7 @@
       grant.ticketId,
       isInDoubt
         ? {kind: 'cancelled'}
-        : outcomes.OUTCOMES[failure.cause](hasCrashed),
+        : failures.OUTCOMES[failure.cause](hasCrashed),
     );
     if (failure.cause === 'wrong-server') {
       directory.onServerEntry(entry.id, undefined);
@@ -964,8 +979,8 @@
   ): boolean {
     const {paths} = this.options;
     if (cause === 'connect-failed') return !paths.isUnreachable(entry.address);
-    if (way.isCarried) return outcomes.CARRIER_FAILURES.has(cause);
-    return outcomes.LINK_FAILURES.has(cause) && paths.isCut(entry.address);
+    if (way.isCarried) return failures.CARRIER_FAILURES.has(cause);
+    return failures.LINK_FAILURES.has(cause) && paths.isCut(entry.address);
   }
 
   /** True when a request may be retried now; the retry is then counted in the budget. */
@@ -1011,6 +1026,20 @@
     );
   }
 
+  /** Ends a request whose service has no backend server that it may use. */
+  private giveUpWithoutServer(
+    accepted: requests.AcceptedRequest,
+    progress: Progress,
+    detail = `after ${progress.attempts} attempts${regionsModule.describe(accepted)}`,
+  ): RetryDecision {
+    return accepted.allowedRegions === undefined
+      ? this.giveUp(progress, 'no-backend-server')
+      : this.giveUp(
+          ...([progress, requests.NO_SERVER_IN_REGIONS] as const),
+          ...([requests.NO_SERVER_IN_REGIONS_RETRY_AFTER_MS, detail] as const),
+        );
+  }
+
   /** Ends a request that a stopping host has too little time for. */
   private giveUpForStop(progress: Progress, detail?: string): RetryDecision {
     const {REASON, RETRY_AFTER_MS} = shutdowns;
@@ -1119,25 +1148,6 @@
   }
 }
 
-/** Limits how long a repeat may run beside the attempt that it repeats. */
-class OverlapTimer {
-  private timer: NodeJS.Timeout | undefined;
-  private onOverdue: (value: 'overdue') => void = () => undefined;
-  /** Resolves when the time is over. */
-  readonly overdue = new Promise<'overdue'>(resolve => {
-    this.onOverdue = resolve;
-  });
-
-  /** Starts the time: the repeat may run from now on. */
-  start(): void {
-    this.timer = setTimeout(this.onOverdue, MAX_OVERLAP_MS, 'overdue');
-  }
-
-  stop(): void {
-    clearTimeout(this.timer);
-  }
-}
-
 /** The requests on a backend server, running and waiting, by its own load report. */
 function inUseOf(
   load: forwarding.upstream.LoadReport | undefined,
@@ -1161,12 +1171,3 @@
 function ended(result: DispatchResult): RetryDecision {
   return {kind: 'ended', ended: result};
 }
-
-function brokenResponse(detail: string): forwarding.upstream.AttemptFailure {
-  const cause = 'broken-answer';
-  const verdict = 'may-have-run';
-  return {
-    ...{kind: 'failed', cause, verdict, status: 0, detail},
-    ...{load: undefined, statements: undefined},
-  };
-}
--- a/packages/gateway/src/outcomes.ts
+++ b/packages/gateway/src/failures.ts
@@ -1,6 +1,5 @@
 /*
- * What the failure of an attempt tells of its backend server, and what is
- * reported of it to the keeper.
+ * What the failure of an attempt tells, and to whom it is reported.
  */
 import type * as decisions from '@banyanhall/decisions';
 import type * as forwarding from '@banyanhall/forwarding';
@@ -35,3 +34,15 @@
 function brokenOutcome(hasCrashed: boolean): decisions.runner.Outcome {
   return hasCrashed ? {kind: 'crashed'} : {kind: 'failed', isBroken: true};
 }
+
+/** Builds the failure of an attempt whose response can't be used. */
+export function brokenResponse(
+  detail: string,
+): forwarding.upstream.AttemptFailure {
+  const cause = 'broken-answer';
+  const verdict = 'may-have-run';
+  return {
+    ...{kind: 'failed', cause, verdict, status: 0, detail},
+    ...{load: undefined, statements: undefined},
+  };
+}
