--- a/packages/decisions/src/cell.ts
+++ b/packages/decisions/src/cell.ts
@@ -345,21 +345,22 @@
     return this.withFields({unreportedHosts});
   }
 
-  /** Replaces the set of runners; grants on removed runners are dropped. */
+  /** Replaces the set of runners; grants on removed runners are dropped. A new runner has its limit before it is granted anything. */
   configure(
     servers: readonly config.BackendServer[],
     versionsByServer: ReadonlyMap<string, readonly string[]>,
+    limitPerSByServer: ReadonlyMap<string, number>,
+    nowMs: number,
   ): Cell {
     const next = new Map<string, runners.Runner>();
     for (const server of servers) {
       const known = this.fields.runners.get(server.name);
       const versions = versionsByServer.get(server.name) ?? [];
-      next.set(
-        server.name,
-        known
-          ? known.withConfiguration(server, versions)
-          : runners.Runner.of(server, versions),
-      );
+      const runner = known
+        ? known.withConfiguration(server, versions)
+        : runners.Runner.of(server, versions);
+      const limitPerS = limitPerSByServer.get(server.name) ?? runner.limitPerS;
+      next.set(server.name, runner.withLimit(limitPerS, nowMs));
     }
     const running = [...this.fields.running].filter(([, r]) =>
       next.has(r.runner),
@@ -592,8 +593,13 @@
     cell: cell.removeHost(event.host, nowMs),
     effects: [],
   }),
-  configure: (cell, event) => ({
-    cell: cell.configure(event.servers, event.versionsByServer),
+  configure: (cell, event, nowMs) => ({
+    cell: cell.configure(
+      event.servers,
+      event.versionsByServer,
+      event.limitPerSByServer ?? new Map(),
+      nowMs,
+    ),
     effects: [],
   }),
   signal: (cell, event, nowMs) => ({
--- a/packages/decisions/src/cellevents.ts
+++ b/packages/decisions/src/cellevents.ts
@@ -34,6 +34,8 @@
       readonly kind: 'configure';
       readonly servers: readonly config.BackendServer[];
       readonly versionsByServer: ReadonlyMap<string, readonly string[]>;
+      /** The limits of backend servers, in requests per second; those that are left out are unchanged. */
+      readonly limitPerSByServer?: ReadonlyMap<string, number>;
     }
   /** A runner's load report, or the failure to get one. */
   | {
--- a/packages/fleet/src/keeper.ts
+++ b/packages/fleet/src/keeper.ts
@@ -33,6 +33,11 @@
   readonly serving: () => readonly decisions.membership.Member[];
   /** The requests a second that a backend server takes, by its name; without this function, none states a limit. */
   readonly limitPerSOf?: (server: string) => number | undefined;
+  /** Called with the outcome of each attempt at a backend server, before its slot is released. */
+  readonly onOutcome?: (
+    server: string,
+    outcome: decisions.runner.Outcome,
+  ) => void;
 }
 
 type EffectHandlers = {
@@ -102,6 +107,9 @@
   /** Releases a slot and applies the outcome of the attempt that used it. */
   onDone(_: string, done: peers.messages.MessageBodies['done']): void {
     const outcome = outcomeOf(done);
+    const running = this.cells.get(done.cell)?.cell.running ?? [];
+    const grant = running.find(({ticket}) => ticket.id === done.ticketId);
+    if (grant) this.options.onOutcome?.(grant.runner, outcome);
     this.apply(done.cell, {kind: 'done', ticketId: done.ticketId, outcome});
   }
 
@@ -208,10 +216,16 @@
   }
 
   private configure(name: string, kept: KeptCell): void {
+    const servers = this.serversOf(name);
+    const limitPerSByServer = new Map(
+      servers.flatMap(server => {
+        const limitPerS = this.options.limitPerSOf?.(server.name);
+        return limitPerS === undefined ? [] : [[server.name, limitPerS]];
+      }),
+    );
     const event = {
       kind: 'configure' as const,
-      servers: this.serversOf(name),
-      versionsByServer: new Map(),
+      ...{servers, limitPerSByServer, versionsByServer: new Map()},
     };
     this.apply(name, event);
     for (const runner of kept.cell.runners) this.updateLimit(name, runner);
--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -8,6 +8,7 @@
 import type * as statementsModule from '@banyanhall/fleet/statements.js';
 import * as forwarding from '@banyanhall/forwarding';
 
+import type * as coldservers from './coldservers.js';
 import type * as fleetlimits from './fleetlimits.js';
 import type * as callerresponses from './callerresponse.js';
 import * as directories from './directory.js';
@@ -15,9 +16,11 @@
 import type * as metrics from './metrics.js';
 import * as requests from './request.js';
 import type * as rollouts from './rollouts.js';
+import type * as serverlimits from './serverlimits.js';
 import * as shutdowns from './shutdown.js';
 import * as silences from './silence.js';
 import * as suspectrejections from './suspectrejections.js';
+import * as unreadablestatements from './unreadablestatements.js';
 
 /** The maximum number of attempts of a request whatever its route allows, including attempts refused by backend servers. */
 const MAX_ATTEMPTS = 4;
@@ -34,9 +37,6 @@
 const SILENT_MS = 1100;
 /** The number of events after which the pace of a stream is compared between versions, so that slow streams count before they end. */
 const PACE_EVENTS = 8;
-/** The most starts of backend servers of which it is remembered that an unreadable statement was logged. */
-const MAX_UNREADABLE_STARTS = 1024;
-const MAX_LOGGED_CHARS = 200;
 const OK = 200;
 const SERVER_ERROR = 500;
 /** The default retry-after time when no backend server accepted the request. */
@@ -57,6 +57,8 @@
   readonly slots: slotsModule.Slots;
   readonly crashes: crashesModule.Crashes;
   readonly statements: statementsModule.Statements;
+  readonly limits: serverlimits.ServerLimits;
+  readonly cold: coldservers.ColdServers;
   readonly fleetLimits: fleetlimits.FleetLimits;
   readonly rollouts: rollouts.Rollouts;
   readonly shutdown: shutdowns.Shutdown;
@@ -146,13 +148,15 @@
 
 /** Dispatches requests to backend servers and relays the responses. */
 export class Dispatcher {
-  /** The starts of backend servers of which an unreadable statement was logged. */
-  private readonly unreadableStarts = new Set<string>();
-
   /** The number of slot requests so far. */
   private slotRequests = 0;
 
-  constructor(private readonly options: DispatcherOptions) {}
+  private readonly unreadable: unreadablestatements.UnreadableStatements;
+
+  constructor(private readonly options: DispatcherOptions) {
+    const {log} = options;
+    this.unreadable = new unreadablestatements.UnreadableStatements(log);
+  }
 
   /**
    * Dispatches one request, with retries, until it is answered or no retry is
@@ -235,7 +239,7 @@
     signal: AbortSignal,
     charged: Promise<requests.Rejection | undefined>,
   ): Promise<RetryDecision> {
-    const {directory, slots, rollouts, metrics} = this.options;
+    const {cold, directory, slots, rollouts, metrics} = this.options;
     const {repeat} = progress;
     progress.repeat = undefined;
     if (repeat) {
@@ -263,7 +267,7 @@
       if (!(error instanceof decisions.verdict.FailureError)) throw error;
       const {type, retryAfterMs} = error.failure;
       const waitedMs = this.nowMs - accepted.received.arrivedMs;
-      const detail = `tier ${accepted.tier}, ${pool.backendServers.length} servers, waited ${Math.round(waitedMs)} ms${this.describeLimits(pool)}`;
+      const detail = `tier ${accepted.tier}, ${pool.backendServers.length} servers, waited ${Math.round(waitedMs)} ms${this.options.limits.describe(pool)}`;
       if (signal.aborted) return this.endAborted(progress, signal, detail);
       return this.giveUp(progress, type, retryAfterMs, detail);
     }
@@ -285,6 +289,11 @@
         slots.done(grant.ticketId, {kind: 'not-admitted', isLeaving: true});
         return RETRY;
       }
+      if (!cold.trySend(entry.id)) {
+        slots.done(grant.ticketId, {kind: 'cancelled'});
+        progress.isRetryCounted = progress.attempts > 0;
+        return RETRY;
+      }
       const {isSuspect} = slotRequest;
       const placement = {grant, entry, isCandidate, isSuspect};
       return this.send(placement, accepted, caller, progress, signal);
@@ -357,7 +366,7 @@
     signal: AbortSignal,
     onConnected?: () => void,
   ): Promise<forwarding.upstream.AttemptResult> {
-    const {dialect, upstream, log, metrics, statements} = this.options;
+    const {cold, dialect, upstream, log, metrics, statements} = this.options;
     const {received, route} = accepted;
     const {names} = dialect;
     const {entry, grant} = attempt;
@@ -382,6 +391,7 @@
       waitedMs: Math.round(attempt.sentMs - received.arrivedMs),
       heldBackMs: grant.heldBackMs || undefined,
       limitPerS,
+      coldPerS: cold.limitPerSOf(entry.id),
     });
     if (limitPerS !== undefined) metrics.limitedSends.inc({server: entry.id});
     const result = await upstream.send(
@@ -404,7 +414,7 @@
       AbortSignal.any([signal, attempt.cut.signal]),
     );
     if (result.statements) {
-      this.logUnreadable(entry, result.statements.unreadable);
+      this.unreadable.report(entry, result.statements.unreadable);
       statements.onAnswer(
         ...([received.id, start, sentRevisions, result.statements] as const),
       );
@@ -616,7 +626,8 @@
       repeat &&
       !signal.aborted &&
       this.isUsable(repeat, accepted, progress) &&
-      fleetLimits.tryCountRetry(service)
+      fleetLimits.tryCountRetry(service) &&
+      this.options.cold.trySend(repeat.entry.id)
     ) {
       return repeat;
     }
@@ -660,36 +671,6 @@
     return relayedMs + route.callerPatienceMs;
   }
 
-  /** Logs once for a start of a backend server that it states something that can't be read. */
-  private logUnreadable(
-    entry: directories.ServerEntry,
-    unreadable: readonly string[],
-  ): void {
-    const start = directories.startOf(entry);
-    if (unreadable.length === 0 || this.unreadableStarts.has(start)) return;
-    if (this.unreadableStarts.size >= MAX_UNREADABLE_STARTS) {
-      this.unreadableStarts.clear();
-    }
-    this.unreadableStarts.add(start);
-    this.options.log.event('bad-input', '', {
-      ...{what: 'statement of a backend server', key: entry.id},
-      detail: unreadable.join('; ').slice(0, MAX_LOGGED_CHARS),
-    });
-  }
-
-  /** Describes the limits in a pool, for the log; empty if no backend server states one. */
-  private describeLimits({backendServers}: decisions.config.Service): string {
-    const limits = backendServers.flatMap(({name}) => {
-      const entry = this.options.directory.entry(name);
-      if (!entry) return [];
-      const start = directories.startOf(entry);
-      return this.options.statements.valueOf(start, 'limit') ?? [];
-    });
-    if (limits.length === 0) return '';
-    const sumPerS = limits.reduce((sum, limit) => sum + limit, 0);
-    return `, ${limits.length} of them limited to ${sumPerS.toFixed(1)} requests/s together`;
-  }
-
   /** Relays a response: event streams chunk by chunk, others once their body is complete. */
   private relay(
     accepted: requests.AcceptedRequest,
@@ -928,7 +909,7 @@
     attempt: Attempt,
     failure: forwarding.upstream.AttemptFailure,
   ): Promise<void> {
-    const {slots, crashes, directory} = this.options;
+    const {cold, slots, crashes, directory} = this.options;
     const {entry, grant} = attempt;
     const isBroken =
       failure.cause === 'reset' || failure.cause === 'broken-answer';
@@ -938,10 +919,9 @@
       this.addSample(accepted, attempt, failure.verdict !== 'not-run', 0, 0);
     }
     if (hasCrashed) crashes.recordCrash(entry.id);
-    slots.done(
-      grant.ticketId,
-      isInDoubt ? {kind: 'cancelled'} : OUTCOMES[failure.cause](hasCrashed),
-    );
+    const outcome = OUTCOMES[failure.cause](hasCrashed);
+    if (!isInDoubt) cold.onOutcome(entry.id, outcome);
+    slots.done(grant.ticketId, isInDoubt ? {kind: 'cancelled'} : outcome);
     if (failure.cause === 'wrong-server') {
       directory.onServerEntry(entry.id, undefined);
     }
--- a/packages/gateway/src/host.ts
+++ b/packages/gateway/src/host.ts
@@ -26,6 +26,7 @@
 import * as fleetlimits from './fleetlimits.js';
 import * as callerconnections from './callerconnections.js';
 import * as callerresponses from './callerresponse.js';
+import * as coldservers from './coldservers.js';
 import * as dispatchers from './dispatcher.js';
 import * as directories from './directory.js';
 import * as listeners from './listeners.js';
@@ -34,6 +35,7 @@
 import * as metricsModule from './metrics.js';
 import * as requests from './request.js';
 import * as rollouts from './rollouts.js';
+import * as serverlimits from './serverlimits.js';
 import * as shutdowns from './shutdown.js';
 import * as suspectrejections from './suspectrejections.js';
 import * as tunnelsModule from './tunnels.js';
@@ -80,6 +82,8 @@
   readonly cores: number;
   readonly fleetLimits: fleetlimits.FleetLimitSettings;
   readonly quota: allowancesModule.QuotaSettings;
+  /** The bound of requests to cold backend servers. */
+  readonly warmup: decisions.coldstart.WarmupBounds;
 }
 
 /** The platform's formats of readiness checks, address queries and configurations; supplied by the platform adapter. */
@@ -140,6 +144,9 @@
   private readonly slots: slotsModule.Slots;
   private readonly crashes: crashesModule.Crashes;
   private readonly statements: statementsModule.Statements;
+  /** The backend servers that are cold after a start. */
+  readonly coldServers: coldservers.ColdServers;
+  private readonly serverLimits: serverlimits.ServerLimits;
   private readonly fleetLimits: fleetlimits.FleetLimits;
   private readonly allowances: allowancesModule.Allowances;
   private readonly dispatcher: dispatchers.Dispatcher;
@@ -164,7 +171,7 @@
   private isReadyLogged = false;
   private readonly cutOffHosts = new addresses.CutOffHosts(this.clock);
   private readonly statementHandlers: StatementHandlers = {
-    limit: change => this.onLimit(change),
+    limit: change => this.serverLimits.onStatement(change),
     leaving: change => this.onLeaving(change),
   };
 
@@ -256,7 +263,9 @@
       ...{host, clock, router, timeline, config, serving},
       // Backend servers that leave are removed from the directory instead.
       serverList: {list: () => Promise.resolve([])},
-      limitPerSOf: server => this.ownLimitPerSOf(server),
+      limitPerSOf: server => this.serverLimits.ownLimitPerSOf(server),
+      onOutcome: (server, outcome) =>
+        this.coldServers.onOutcome(server, outcome),
     });
     this.slots = new slotsModule.Slots({
       ...{host, region, zone, clock, router, timeline, config, serving},
@@ -264,7 +273,7 @@
         fallbacks.chooseServer(slotRequest, {
           ...{region, random},
           heldOn: server => this.slots.heldOn(server),
-          limitPerSOf: server => this.limitPerSOf(server),
+          limitPerSOf: server => this.serverLimits.limitPerSOf(server),
         }),
       onUnanswered: keeper => this.members.probeUnresponsive(keeper),
     });
@@ -279,10 +288,21 @@
       isInUse: start => directory.entryOfStart(start) !== undefined,
       onChange: change => this.onStatement(change),
     });
+    const onLimit = (server: string) => this.keeper.onLimit(server);
+    const part = () => this.members.part;
+    this.coldServers = new coldservers.ColdServers({
+      ...{clock, directory, log, metrics, part, onChange: onLimit},
+      bounds: settings.warmup,
+      entriesAgeMs: () => this.feedRelay.oldestAnswerAgeMs,
+    });
+    this.serverLimits = new serverlimits.ServerLimits({
+      ...{directory, log, metrics, part, onChange: onLimit},
+      ...{statements: this.statements, cold: this.coldServers},
+    });
     this.fleetLimits = new fleetlimits.FleetLimits({
       ...{host, clock, random, settings: settings.fleetLimits},
       members: serving,
-      part: () => this.members.part,
+      ...{part},
       send: (to, item) => router.send(to, item),
       onUnanswered: hub => this.members.probeUnresponsive(hub),
     });
@@ -325,6 +345,7 @@
       ...{clock, dialect, directory, upstream, slots, crashes, log, metrics},
       ...{fleetLimits: this.fleetLimits, rollouts: this.rollouts},
       ...{statements: this.statements, shutdown, paths},
+      ...{limits: this.serverLimits, cold: this.coldServers},
     });
     router.connect(this.handlers());
     this.ingress = http.createServer(
@@ -491,8 +512,11 @@
   /** The parts with timers of their own. */
   private get parts(): readonly Part[] {
     const {keeper, slots, crashes, statements, fleetLimits, feedRelay} = this;
-    const {paths} = this;
-    return [keeper, slots, crashes, statements, fleetLimits, feedRelay, paths];
+    const {paths, coldServers: cold} = this;
+    return [
+      ...[keeper, slots, crashes, statements, fleetLimits, feedRelay, paths],
+      cold,
+    ];
   }
 
   /** Handles a message of another host. An exception would end the link's reading, so that later messages are lost. */
@@ -695,20 +719,6 @@
       : shutdowns.rejection('too little time left');
   }
 
-  /** The requests a second that a backend server states to take. */
-  private limitPerSOf(server: string): number | undefined {
-    const entry = this.directory.entry(server);
-    return (
-      entry && this.statements.valueOf(directories.startOf(entry), 'limit')
-    );
-  }
-
-  /** The part of that limit which this side of a partition may use. */
-  private ownLimitPerSOf(server: string): number | undefined {
-    const limitPerS = this.limitPerSOf(server);
-    return limitPerS === undefined ? undefined : limitPerS * this.members.part;
-  }
-
   /** Applies a change of the part of the fleet that this host sees, to what it keeps for the fleet. */
   private onPart(): void {
     this.allowances.onPart();
@@ -766,27 +776,6 @@
     this.directory.onLeaving(start);
   }
 
-  /** Applies and logs a change of the limit of a backend server. */
-  private onLimit(change: statementsModule.StatementChange): void {
-    const {server: start, before, after, from, requestId, ageMs} = change;
-    const {log, metrics} = this.options;
-    const server = directories.idOfStart(start);
-    log.event('server-limit', requestId, {
-      ...{server, limitPerS: after, before},
-      change: limitChange(before, after),
-      from: from || 'answer',
-      beforeAgeMs: Math.round(ageMs),
-    });
-    this.keeper.onLimit(server);
-    const limitPerS = this.limitPerSOf(server);
-    if (limitPerS !== undefined) {
-      metrics.serverLimits.set({server}, limitPerS);
-      return;
-    }
-    metrics.serverLimits.remove({server});
-    metrics.limitedSends.remove({server});
-  }
-
   private respondWithAddresses(
     target: string,
     response: http.ServerResponse,
@@ -903,14 +892,6 @@
   crash: 'suspect',
 };
 
-function limitChange(
-  before: number | undefined,
-  after: number | undefined,
-): 'stated' | 'changed' | 'lifted' {
-  if (after === undefined) return 'lifted';
-  return before === undefined ? 'stated' : 'changed';
-}
-
 const EVENT_BY_RESULT: Readonly<
   Record<dispatchers.DispatchResult['kind'], logs.LogEvent>
 > = {
--- a/packages/gateway/src/logs.ts
+++ b/packages/gateway/src/logs.ts
@@ -18,6 +18,7 @@
   | 'server-left'
   | 'server-health'
   | 'server-limit'
+  | 'server-cold'
   | 'server-leaving'
   | 'link-cut'
   | 'link-restored'
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -71,6 +71,21 @@
     'Starts of backend servers that stated that they leave.',
     [],
   );
+  readonly coldServers = new prom.Gauge({
+    name: 'banyanhall_cold_servers',
+    help: 'Backend servers that are sent less as they are cold.',
+    registers: [this.registry],
+  });
+  readonly coldSends = this.counter(
+    'banyanhall_cold_sends_total',
+    'Sends by this host to cold backend servers.',
+    [],
+  );
+  readonly coldReturns = this.counter(
+    'banyanhall_cold_returns_total',
+    'Slots on cold backend servers that this host gave back, as it had sent enough.',
+    [],
+  );
   private readonly gauges = new Map<string, prom.Gauge>();
 
   /** Sets the gauge `banyanhall_<name>`, creating it with the text `help` on first use. */
--- a/packages/routing/src/configuration.ts
+++ b/packages/routing/src/configuration.ts
@@ -44,6 +44,16 @@
   readonly capacity: number;
   /** Tokens that the running requests of one inference engine may hold; 0 for services without an engine. */
   readonly memoryTokens: number;
+  /** How backend servers warm up after a start; undefined if they need not. */
+  readonly warmup?: WarmupSettings;
+}
+
+/** How the backend servers of a service warm up. */
+export interface WarmupSettings {
+  /** How long a backend server is cold after it starts. */
+  readonly durationMs: number;
+  /** The requests per second that it serves meanwhile. */
+  readonly perS: number;
 }
 
 /** A client account with its API keys and token rate limit. */
