--- a/packages/decisions/src/cell.ts
+++ b/packages/decisions/src/cell.ts
@@ -28,7 +28,7 @@
 export const RELEASE_GRACE_MS = 2000;
 
 /** The retry delay sent to callers when no runner serves a ticket, in milliseconds. */
-const NO_RUNNER_RETRY_MS = 1000;
+export const NO_RUNNER_RETRY_MS = 1000;
 
 /**
  * A waiting ticket is shed only if this fraction of its expected wait is
--- a/packages/fleet/src/feedrelay.ts
+++ b/packages/fleet/src/feedrelay.ts
@@ -176,6 +176,15 @@
     }
   }
 
+  /** Takes a batch of changes after `position` that a watcher has passed on, if there is one; for a host that the store does not answer. */
+  take(name: string, position: StorePosition): FeedBatch | undefined {
+    const table = this.table(name);
+    table.batches = table.batches.filter(({to}) => to.isAfter(position));
+    return table.batches.find(
+      ({from}) => from.isOfSameEraAs(position) && !from.isAfter(position),
+    );
+  }
+
   /** Passes on a batch that this host has read from the store, if it is a watcher. */
   publish(name: string, batch: FeedBatch): void {
     const table = this.table(name);
@@ -317,7 +326,9 @@
     const watchers = this.currentWatchers();
     for (const member of serving()) {
       if (!isSmall && member.zone !== zone) continue;
-      if (watchers.includes(member.host)) continue;
+      // Other watchers read the store themselves, and need changes if it does not answer them.
+      if (watchers.includes(member.host) && body.rows.length === 0) continue;
+      if (member.host === this.options.host) continue;
       send(member.host, {kind: 'feed', body});
     }
   }
--- a/packages/fleet/src/keeper.ts
+++ b/packages/fleet/src/keeper.ts
@@ -251,7 +251,8 @@
     if (event.kind !== 'ask') return;
     const {ticket} = event;
     const reason = 'no-runner';
-    const refusal = {kind: 'refuse' as const, ticket, reason, retryAfterMs: 0};
+    const retryAfterMs = decisions.cell.NO_RUNNER_RETRY_MS;
+    const refusal = {kind: 'refuse' as const, ticket, reason, retryAfterMs};
     this.effectHandlers.refuse(name, {...refusal, reason}, 0);
   }
 
--- a/packages/fleet/src/slots.ts
+++ b/packages/fleet/src/slots.ts
@@ -130,6 +130,10 @@
     ),
 };
 
+function noRunner(): decisions.verdict.Failure {
+  return REFUSAL_FAILURES['no-runner'](decisions.cell.NO_RUNNER_RETRY_MS);
+}
+
 /** Acquires slots from the keepers of cells for the requests of this host, and tracks those it holds. */
 export class Slots {
   private readonly pending = new Map<string, PendingRequest>();
@@ -171,7 +175,7 @@
     }
     const cells = this.cellsFor(slotRequest);
     if (cells.length === 0) {
-      return Promise.reject(failed(REFUSAL_FAILURES['no-runner'](0)));
+      return Promise.reject(failed(noRunner()));
     }
     return new Promise((resolve, reject) => {
       const onAbort = () => {
@@ -273,7 +277,7 @@
       return pending.resolve({ticketId, server, heldBackMs});
     }
     this.done(grant.ticketId, {kind: 'cancelled'});
-    pending.reject(failed(REFUSAL_FAILURES['no-runner'](0)));
+    pending.reject(failed(noRunner()));
   }
 
   /** Finds a backend server, which may have been added to the service while the request waited. */
@@ -320,8 +324,9 @@
     pending.reject(failed(REFUSAL_FAILURES[reason](refuse.retryAfterMs)));
   }
 
-  /** After a membership change, reports held slots to new keepers and sends waiting slot requests to them. */
+  /** After a change of the members or of the backend servers, reports held slots to new keepers and sends waiting slot requests to them. */
   onMembers(): void {
+    this.moveFromEmptyCells();
     for (const service of this.options.config().list('service')) {
       for (const key of decisions.celltopology.cellsOf(service)) {
         this.refreshKeeper(key);
@@ -336,6 +341,26 @@
     }
   }
 
+  /** Sends the slot requests that wait in a cell without backend servers to another cell, or refuses them if there is none. */
+  private moveFromEmptyCells(): void {
+    for (const pending of [...this.pending.values()]) {
+      const {slotRequest, cell} = pending;
+      const {name} = slotRequest.service;
+      const service = this.options.config().get('service', name);
+      const key = decisions.celltopology.parseCellName(cell);
+      const isEmpty =
+        !service ||
+        decisions.celltopology.serversInCell(service, key).length === 0;
+      if (!isEmpty) continue;
+      this.withdraw(slotRequest.requestId);
+      const moved = service && {...slotRequest, service};
+      const [next] = moved ? this.cellsFor(moved) : [];
+      if (moved && next !== undefined) {
+        this.ask({...pending, slotRequest: moved, cell: next});
+      } else pending.reject(failed(noRunner()));
+    }
+  }
+
   private refreshKeeper(key: decisions.celltopology.CellKey): void {
     const cell = decisions.celltopology.cellName(key);
     const keeper = decisions.celltopology.keeperOf(key, this.options.serving());
--- a/packages/gateway/src/directory.ts
+++ b/packages/gateway/src/directory.ts
@@ -70,6 +70,8 @@
   readonly regionByZone: ReadonlyMap<string, string>;
   /** The interval at which backend servers write their entries. */
   readonly heartbeatMs: number;
+  /** Returns true if nothing may be sent to the backend servers of an availability zone; without this function, all may be used. */
+  readonly isEvacuated?: (zone: string) => boolean;
   readonly onChange: () => void;
 }
 
@@ -80,7 +82,7 @@
  * is gone or draining is not used. Two exceptions, since an entry that is gone
  * may only have expired: one that disappears during or shortly after a store
  * outage is kept for `OUTAGE_GRACE_MS`, and the last one of a service for
- * `LAST_SERVER_GRACE_MS`.
+ * `LAST_SERVER_GRACE_MS`. Servers in evacuated zones stay listed, and are in no pool.
  *
  * A store that comes back from an older copy may list servers again that left.
  * A start that was draining stays out. One that was gone is used again once its
@@ -123,20 +125,23 @@
 
   /** The usable backend servers of a service, candidate included. */
   servers(service: string): readonly ServerEntry[] {
-    return [...this.entries.values()].filter(e => e.service === service);
+    return [...this.entries.values()].filter(
+      entry => entry.service === service && this.isUsable(entry),
+    );
   }
 
   /** The entry of a usable backend server by id. */
   entry(id: string): ServerEntry | undefined {
-    return this.entries.get(id);
+    const entry = this.entries.get(id);
+    return entry && this.isUsable(entry) ? entry : undefined;
   }
 
-  /** The entry of the usable backend server at `address` (ip:port). */
+  /** The entry of the listed backend server at `address` (ip:port); also in an evacuated zone, for requests that run there. */
   entryAt(address: string): ServerEntry | undefined {
     return [...this.entries.values()].find(each => each.address === address);
   }
 
-  /** The entry of a usable backend server by the name of its current start, from `startOf`. */
+  /** The entry of a listed backend server by the name of its current start, from `startOf`; also in an evacuated zone. */
   entryOfStart(start: string): ServerEntry | undefined {
     const entry = this.entries.get(idOfStart(start));
     return entry && startOf(entry) === start ? entry : undefined;
@@ -272,6 +277,11 @@
     if (isAnswering) this.storeRecoveredMs = this.options.clock.monotonicMs();
   }
 
+  /** Builds the pools again after a change of the evacuated zones. */
+  onEvacuations(): void {
+    this.rebuild();
+  }
+
   /** Sets the candidate versions by service. */
   setCandidates(candidates: ReadonlyMap<string, string>): void {
     this.candidates = candidates;
@@ -370,6 +380,10 @@
     this.removalTimers.set(id, timer);
   }
 
+  private isUsable({zone}: ServerEntry): boolean {
+    return !this.options.isEvacuated?.(zone);
+  }
+
   private rebuild(): void {
     this.isStale = this.isBatching;
     if (this.isBatching) return;
--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -146,6 +146,11 @@
 
 const RETRY: RetryDecision = {kind: 'again'};
 
+/** The outcome of a slot that was not used. */
+const CANCELLED: decisions.runner.Outcome = {kind: 'cancelled'};
+/** The outcome of a slot whose backend server left or was evacuated before the send. */
+const GONE: decisions.runner.Outcome = {kind: 'not-admitted', isLeaving: true};
+
 /** Dispatches requests to backend servers and relays the responses. */
 export class Dispatcher {
   /** The number of slot requests so far. */
@@ -269,6 +274,12 @@
       const waitedMs = this.nowMs - accepted.received.arrivedMs;
       const detail = `tier ${accepted.tier}, ${pool.backendServers.length} servers, waited ${Math.round(waitedMs)} ms${this.options.limits.describe(pool)}`;
       if (signal.aborted) return this.endAborted(progress, signal, detail);
+      const next = directory.pool(accepted.service, isCandidate);
+      if (type === 'no-backend-server' && next && next.name !== pool.name) {
+        // The version that the request waited for has no backend server any more, another has.
+        progress.isRetryCounted = progress.attempts > 0;
+        return RETRY;
+      }
       return this.giveUp(progress, type, retryAfterMs, detail);
     }
     return this.withSlot(grant, async () => {
@@ -285,12 +296,8 @@
         (this.nowMs - accepted.received.arrivedMs) / 1000,
       );
       const entry = directory.entry(grant.server.name);
-      if (!entry) {
-        slots.done(grant.ticketId, {kind: 'not-admitted', isLeaving: true});
-        return RETRY;
-      }
-      if (!cold.trySend(entry.id)) {
-        slots.done(grant.ticketId, {kind: 'cancelled'});
+      if (!entry || !cold.trySend(entry.id)) {
+        slots.done(grant.ticketId, entry ? CANCELLED : GONE);
         progress.isRetryCounted = progress.attempts > 0;
         return RETRY;
       }
--- a/packages/gateway/src/host.ts
+++ b/packages/gateway/src/host.ts
@@ -28,6 +28,7 @@
 import * as callerresponses from './callerresponse.js';
 import * as coldservers from './coldservers.js';
 import * as dispatchers from './dispatcher.js';
+import * as evacuationsModule from './evacuations.js';
 import * as directories from './directory.js';
 import * as listeners from './listeners.js';
 import * as logs from './logs.js';
@@ -144,6 +145,7 @@
   private readonly slots: slotsModule.Slots;
   private readonly crashes: crashesModule.Crashes;
   private readonly statements: statementsModule.Statements;
+  readonly evacuations: evacuationsModule.Evacuations;
   /** The backend servers that are cold after a start. */
   readonly coldServers: coldservers.ColdServers;
   private readonly serverLimits: serverlimits.ServerLimits;
@@ -207,9 +209,18 @@
       member: name => this.members.get(name),
     });
     const {router} = this;
+    this.evacuations = new evacuationsModule.Evacuations({
+      ...{log, metrics},
+      isKnownZone: name => name === zone || settings.regionByZone.has(name),
+      onChange: () => {
+        this.directory.onEvacuations();
+        this.logReady();
+      },
+    });
     this.directory = new directories.Directory({
       ...{clock, log, regionByZone: settings.regionByZone},
       heartbeatMs: settings.serverHeartbeatMs,
+      isEvacuated: name => this.evacuations.isEvacuated(name),
       onChange: () => {
         this.keeper.onConfig();
         this.slots.onMembers();
@@ -369,11 +380,12 @@
     });
   }
 
-  /** True when this host has a configuration, all that it needs serves, and it is not stopping. */
+  /** True when this host has a configuration, knows the evacuated zones, all that it needs serves, and it is not stopping. */
   get isReady(): boolean {
     return (
       !this.shutdown.hasBegun &&
       this.directory.configuration !== undefined &&
+      this.evacuations.areKnown &&
       this.links.isListening &&
       this.neededServers.length > 0 &&
       this.neededServers.every(server => server.listening)
--- a/packages/gateway/src/logs.ts
+++ b/packages/gateway/src/logs.ts
@@ -19,6 +19,7 @@
   | 'server-health'
   | 'server-limit'
   | 'server-cold'
+  | 'evacuation'
   | 'server-leaving'
   | 'link-cut'
   | 'link-restored'
--- a/packages/gateway/src/tunnels.ts
+++ b/packages/gateway/src/tunnels.ts
@@ -116,8 +116,9 @@
     };
     const isBusy = isStopping() || loopLagMs() > MAX_LOOP_LAG_MS;
     if (isBusy || this.carried >= MAX_CARRIED) throw refuse('busy');
-    // The directory holds no server that leaves, so that none gets requests this way.
-    if (!directory.entryAt(address)) throw refuse('unknown');
+    // No server that leaves or is evacuated gets requests this way.
+    const id = directory.entryAt(address)?.id ?? '';
+    if (!directory.entry(id)) throw refuse('unknown');
     if (paths().isCut(address) || paths().isCutOff) throw refuse('cut-off');
     const [host, port] = address.split(':');
     const target = {host, port: Number(port), allowHalfOpen: true};
