--- a/packages/fleet/src/feedrelay.test.ts
+++ b/packages/fleet/src/feedrelay.test.ts
@@ -367,3 +367,19 @@
     assert.equal(await follower.next(TABLE, at(3, 2), MAX_AGE_MS), undefined);
   },
 );
+
+// Guards against a watcher that knows no changes while the store refuses it, and one that keeps batches that it has read itself.
+test.test('a watcher takes changes from another one', () => {
+  const fleet = new Fleet(4, 1);
+  const [refused] = fleet.watchers;
+  fleet.unanswered.add(refused);
+  fleet.read(10, 12, [row(12)]);
+  const taken = fleet.of(refused).take(TABLE, at(10));
+  assert.deepEqual(batchOf(taken).rows, [row(12)]);
+  assert.equal(fleet.of(refused).take(TABLE, at(12)), undefined);
+  assert.equal(fleet.of(refused).take(TABLE, at(11, 2)), undefined);
+  fleet.unanswered.clear();
+  fleet.read(12, 14, [row(14)]);
+  fleet.of(refused).publish(TABLE, {from: at(12), to: at(14), rows: []});
+  assert.equal(fleet.of(refused).take(TABLE, at(12)), undefined);
+});
--- a/packages/fleet/src/feedrelay.ts
+++ b/packages/fleet/src/feedrelay.ts
@@ -190,6 +190,7 @@
     const table = this.table(name);
     usePosition(table, batch.to);
     table.readPosition = batch.to;
+    table.batches = table.batches.filter(({to}) => to.isAfter(batch.to));
     table.answeredMs = this.nowMs;
     if (this.isWatcher) this.sendToFollowers(name, batch, true);
   }
--- a/packages/fleet/src/slots.test.ts
+++ b/packages/fleet/src/slots.test.ts
@@ -149,6 +149,20 @@
   handlers[item.kind]?.();
 }
 
+/** Leaves the servers of these zones in the service of all hosts, as when others are evacuated. */
+function keepZones(fleet: TestFleet, zones: readonly string[]): void {
+  const {backendServers} = fleet.service;
+  fleet.service = {
+    ...fleet.service,
+    backendServers: backendServers.filter(({zone}) => zones.includes(zone)),
+  };
+  for (const {keeper, slots} of fleet.hosts.values()) {
+    keeper.onConfig();
+    slots.onMembers();
+  }
+  fleet.deliver();
+}
+
 /** A slot request of a test and its result, once it has one. */
 interface TestRequest {
   readonly id: string;
@@ -354,3 +368,23 @@
     await fc.assert(property, {seed: SEED, numRuns: RUNS});
   },
 );
+
+// Guards against requests that wait where no backend server is left, for a second or for ever.
+test.test('requests that wait in an evacuated zone move', async () => {
+  const fleet = new TestFleet(NAMES);
+  const host = hostAt(fleet, 0);
+  const asked = Array.from({length: 8}, () => ask(fleet, host, 1, 60_000));
+  fleet.deliver();
+  await settled();
+  assert.ok(asked.some(({grant}) => !grant));
+  keepZones(fleet, ['z2', 'z3']);
+  await settled();
+  assert.ok(asked.every(({grant}) => grant));
+  const waiting = Array.from({length: 20}, () => ask(fleet, host, 1, 60_000));
+  fleet.deliver();
+  keepZones(fleet, []);
+  await settled();
+  const refused = waiting.filter(({grant}) => !grant);
+  assert.ok(refused.length > 0);
+  assert.ok(refused.every(({failure}) => failure === 'no-backend-server'));
+});
