--- a/packages/fleet/src/members.test.ts
+++ b/packages/fleet/src/members.test.ts
@@ -1,164 +1,22 @@
 import * as assert from 'node:assert/strict';
 import * as test from 'node:test';
 
-import * as decisions from '@banyanhall/decisions';
-import type * as peers from '@banyanhall/peers';
-import type * as platform from '@banyanhall/platform';
-
 import * as membersModule from './members.js';
+import * as membersplay from './membersplay.js';
 import type * as routers from './router.js';
 import * as timelines from './timeline.js';
 
 const HOSTS = 66;
 const LEAVING = 22;
-const STEP_MS = 50;
 const SETTLE_MS = 5000;
 /** The time within which hosts must learn of a change; callers cache address lists for as long. */
 const HEARD_WITHIN_MS = 2000;
 
-/** In-memory hosts on a simulated clock; a message takes one step to arrive. */
-class TestFleet {
-  readonly members = new Map<string, membersModule.Members>();
-  readonly sent = new Map<string, number>();
-  /** How often the parts of any host were told of a change. */
-  changes = 0;
-  /** The leases in the table. */
-  rows = new Map<string, platform.table.Row>();
-  /** When leases were written, in milliseconds. */
-  readonly writesMs: number[] = [];
-  /** True while the table refuses to be read. */
-  isRefusingScans = false;
-  /** True while writes to the table end with an exception. */
-  isWriteFailing = false;
-  /** The side of each host in a partition; hosts of different sides don't reach each other. */
-  sides = new Map<string, number>();
-  /** Hosts whose process has ended. */
-  readonly ended = new Set<string>();
-  /** Links that were closed for their silence. */
-  dropped = 0;
-  private readonly undelivered: (() => void)[] = [];
-  private nowMs = 0;
-
-  constructor(
-    private readonly timers: test.MockTimers,
-    hosts = HOSTS,
-  ) {
-    for (let i = 0; i < hosts; i++) this.add(`h${i}`);
-  }
-
-  /** Cuts hosts off from those of another side, until `heal`. */
-  cut(sideOf: (index: number) => number): void {
-    [...this.members.keys()].forEach((host, i) =>
-      this.sides.set(host, sideOf(i)),
-    );
-  }
-
-  heal(): void {
-    this.sides.clear();
-  }
-
-  /** Ends a process without notice. */
-  kill(host: string): void {
-    this.members.get(host)?.stop();
-    this.ended.add(host);
-  }
-
-  /** Starts a process again under the name that it had. */
-  async restart(host: string): Promise<void> {
-    this.ended.delete(host);
-    this.add(host, this.nowMs + 1);
-    await this.members.get(host)?.start();
-  }
-
-  /** The hosts that don't count all others as serving. */
-  get apart(): readonly string[] {
-    const alive = [...this.members].filter(([host]) => !this.ended.has(host));
-    return alive
-      .filter(([, {serving}]) => serving.length !== alive.length)
-      .map(([host]) => host);
-  }
-
-  async start(): Promise<void> {
-    for (const members of this.members.values()) await members.start();
-    await this.advance(SETTLE_MS);
-  }
-
-  /** Advances the clock, firing timers and delivering messages. */
-  async advance(forMs: number): Promise<void> {
-    for (let endMs = this.nowMs + forMs; this.nowMs < endMs;) {
-      this.nowMs += STEP_MS;
-      this.timers.tick(STEP_MS);
-      for (const deliver of this.undelivered.splice(0)) deliver();
-      await Promise.resolve();
-    }
-  }
-
-  /** The number of messages of a kind sent so far. */
-  count(kind: string): number {
-    return this.sent.get(kind) ?? 0;
-  }
-
-  private add(host: string, incarnation = 1): void {
-    const clock = {nowMs: () => this.nowMs, monotonicMs: () => this.nowMs};
-    const send = (to: string, item: peers.messages.Message) => {
-      this.sent.set(item.kind, this.count(item.kind) + 1);
-      this.undelivered.push(() => this.deliver(host, to, item));
-      return true;
-    };
-    const table = {
-      scan: () =>
-        this.isRefusingScans
-          ? Promise.reject(new Error('refused'))
-          : Promise.resolve([...this.rows.values()]),
-      commit: ({writes}: platform.table.Transaction) => {
-        if (this.isWriteFailing) return Promise.reject(new Error('write'));
-        for (const {key, value} of writes) {
-          this.writesMs.push(this.nowMs);
-          if (value) this.rows.set(key, {key, value, version: 1});
-          else this.rows.delete(key);
-        }
-        return Promise.resolve({kind: 'committed' as const, version: 1});
-      },
-      read: () => Promise.resolve(new Map()),
-    };
-    this.members.set(
-      host,
-      new membersModule.Members({
-        ...{table, clock, timeline: new timelines.Timeline(host)},
-        router: {send} as unknown as routers.Router,
-        random: decisions.random.seeded(decisions.rendezvous.hash32(host)),
-        self: {
-          ...{host, region: 'r', zone: 'z', callerUrl: '', peerAddress: ''},
-          ...{incarnation, state: 'serving'},
-        },
-        configState: () => ({configNumber: 0, configAgeMs: 0}),
-        onChange: () => void this.changes++,
-        onConfigState: () => undefined,
-        ...{onDead: () => undefined, onSilent: () => void this.dropped++},
-      }),
-    );
-  }
-
-  private deliver(
-    from: string,
-    to: string,
-    item: peers.messages.Message,
-  ): void {
-    if (this.ended.has(from) || this.ended.has(to)) return;
-    if (this.sides.get(from) !== this.sides.get(to)) return;
-    const members = this.members.get(to);
-    members?.onMessageFrom(from);
-    if (item.kind === 'probe') members?.onProbe(from, item.body);
-    if (item.kind === 'ack') members?.onAck(from, item.body);
-    if (item.kind === 'news') members?.onNews(from, item.body.members);
-  }
-}
-
 test.test(
   'when a third of a large fleet leaves at once, all hosts learn of it in few messages',
   async t => {
     t.mock.timers.enable({apis: ['setInterval']});
-    const fleet = new TestFleet(t.mock.timers);
+    const fleet = new membersplay.TestFleet(t.mock.timers, HOSTS);
     await fleet.start();
     for (const members of fleet.members.values()) {
       assert.equal(members.serving.length, HOSTS);
@@ -177,7 +35,7 @@
 
 test.test('a host of a large fleet sends few probes', async t => {
   t.mock.timers.enable({apis: ['setInterval']});
-  const fleet = new TestFleet(t.mock.timers);
+  const fleet = new membersplay.TestFleet(t.mock.timers, HOSTS);
   await fleet.start();
   const before = fleet.count('probe');
   await fleet.advance(10_000);
@@ -187,7 +45,7 @@
 
 test.test('news about many hosts is one change for the parts of a host', t => {
   t.mock.timers.enable({apis: ['setInterval']});
-  const fleet = new TestFleet(t.mock.timers);
+  const fleet = new membersplay.TestFleet(t.mock.timers, HOSTS);
   const reports = Array.from({length: 60}, (_, i) => ({
     ...{host: `new${i}`, region: 'r', zone: 'z', callerUrl: '', cores: 1},
     ...{peerAddress: '', incarnation: 1, state: 'serving'},
@@ -212,7 +70,7 @@
 ] as readonly (readonly [string, number, (index: number) => number])[]) {
   test.test(`a fleet is one again after a partition: ${name}`, async t => {
     t.mock.timers.enable({apis: ['setInterval', 'setTimeout']});
-    const fleet = new TestFleet(t.mock.timers, hosts);
+    const fleet = new membersplay.TestFleet(t.mock.timers, hosts);
     await fleet.start();
     fleet.cut(sideOf);
     await fleet.advance(8000);
@@ -233,7 +91,7 @@
 // Guards against sides that forget each other in a long partition, and give out whole limits.
 test.test('the sides of a long partition keep to their parts', async t => {
   t.mock.timers.enable({apis: ['setInterval', 'setTimeout']});
-  const fleet = new TestFleet(t.mock.timers, 8);
+  const fleet = new membersplay.TestFleet(t.mock.timers, 8);
   await fleet.start();
   fleet.cut(i => Number(i < 2));
   await fleet.advance(700_000);
@@ -247,7 +105,7 @@
 // Guards against a fleet that keeps to a part of its limits for hosts that are gone.
 test.test('hosts that end without notice are forgotten', async t => {
   t.mock.timers.enable({apis: ['setInterval', 'setTimeout']});
-  const fleet = new TestFleet(t.mock.timers, 8);
+  const fleet = new membersplay.TestFleet(t.mock.timers, 8);
   await fleet.start();
   fleet.kill('h1');
   await fleet.advance(5000);
@@ -261,7 +119,7 @@
 
 test.test('a host that leaves is no lost one', async t => {
   t.mock.timers.enable({apis: ['setInterval', 'setTimeout']});
-  const fleet = new TestFleet(t.mock.timers, 8);
+  const fleet = new membersplay.TestFleet(t.mock.timers, 8);
   await fleet.start();
   await fleet.members.get('h1')?.leave();
   await fleet.advance(2000);
@@ -274,7 +132,7 @@
 
 test.test('a host that restarts under its name is one again', async t => {
   t.mock.timers.enable({apis: ['setInterval', 'setTimeout']});
-  const fleet = new TestFleet(t.mock.timers, 8);
+  const fleet = new membersplay.TestFleet(t.mock.timers, 8);
   await fleet.start();
   fleet.kill('h1');
   await fleet.advance(5000);
@@ -287,7 +145,7 @@
 // Guards against attempts to rejoin that grow with the fleet.
 test.test('a host tries to rejoin few hosts', async t => {
   t.mock.timers.enable({apis: ['setInterval', 'setTimeout']});
-  const fleet = new TestFleet(t.mock.timers);
+  const fleet = new membersplay.TestFleet(t.mock.timers, HOSTS);
   await fleet.start();
   fleet.cut(i => i % 2);
   await fleet.advance(15_000);
@@ -308,7 +166,7 @@
 // Guards against hosts that new ones never find, and against one that left and comes back with the copy.
 test.test('leases are written again after a restore of the store', async t => {
   t.mock.timers.enable({apis: ['setInterval', 'setTimeout']});
-  const fleet = new TestFleet(t.mock.timers);
+  const fleet = new membersplay.TestFleet(t.mock.timers, HOSTS);
   await fleet.start();
   const copy = new Map(fleet.rows);
   copy.delete('host/h1');
@@ -335,7 +193,7 @@
 // Guards against hosts that keep a restored store refusing as they write their leases twice a second.
 test.test('a refused scan does not repeat the write of the lease', async t => {
   t.mock.timers.enable({apis: ['setInterval', 'setTimeout']});
-  const fleet = new TestFleet(t.mock.timers);
+  const fleet = new membersplay.TestFleet(t.mock.timers, HOSTS);
   await fleet.start();
   fleet.rows.delete('host/h1');
   fleet.writesMs.splice(0);
@@ -357,7 +215,7 @@
 // Guards against a host that never joins its fleet, as its first try ended with an exception (RECOVER).
 test.test('a host joins after a write that fails', async t => {
   t.mock.timers.enable({apis: ['setInterval', 'setTimeout']});
-  const fleet = new TestFleet(t.mock.timers, 3);
+  const fleet = new membersplay.TestFleet(t.mock.timers, 3);
   fleet.isWriteFailing = true;
   await fleet.start();
   await fleet.advance(1000);
--- a/packages/gateway/src/addresses.ts
+++ b/packages/gateway/src/addresses.ts
@@ -3,7 +3,7 @@
  */
 import * as decisions from '@banyanhall/decisions';
 
-const MAX_ADDRESSES = 64;
+export const MAX_ADDRESSES = 64;
 /** With this many hosts in the caller's zone, or else its region, no farther hosts are returned. */
 const MIN_NEARBY_HOSTS = 2;
 /** Hosts count as equal in size while the largest has at most this many times the cores of the smallest. */
--- a/packages/gateway/src/host.ts
+++ b/packages/gateway/src/host.ts
@@ -14,7 +14,6 @@
 import * as routers from '@banyanhall/fleet/router.js';
 import * as slotsModule from '@banyanhall/fleet/slots.js';
 import * as statementsModule from '@banyanhall/fleet/statements.js';
-import * as timelines from '@banyanhall/fleet/timeline.js';
 import * as forwarding from '@banyanhall/forwarding';
 import * as peers from '@banyanhall/peers';
 import type * as platform from '@banyanhall/platform';
@@ -39,7 +38,9 @@
 import * as serverlimits from './serverlimits.js';
 import * as shutdowns from './shutdown.js';
 import * as suspectrejections from './suspectrejections.js';
+import * as timelinelog from './timelinelog.js';
 import * as tunnelsModule from './tunnels.js';
+import * as verifiedhosts from './verifiedhosts.js';
 
 /** How long callers may cache an address response, in milliseconds. */
 const ADDRESS_TTL_MS = 1000;
@@ -171,6 +172,7 @@
   private stopped: Promise<void> | undefined;
   private configurationSource = '';
   private isReadyLogged = false;
+  private readonly verifiedHosts: verifiedhosts.VerifiedHosts;
   private readonly cutOffHosts = new addresses.CutOffHosts(this.clock);
   private readonly statementHandlers: StatementHandlers = {
     limit: change => this.serverLimits.onStatement(change),
@@ -186,14 +188,12 @@
       decisions.rendezvous.hash32(`${host}${clock.nowMs()}`),
     );
     const {random} = this;
-    const timeline = new timelines.Timeline(host, event => {
-      const logged = TIMELINE_EVENTS[event.kind as timelines.EventKind];
-      if (logged) log.event(logged, event.requestId, {...event.detail});
-    });
+    const timeline = timelinelog.loggedTimeline(host, log);
     this.links = new peers.links.Links({
       host,
       secret: LINK_SECRET,
       onMessage: (from, item) => {
+        this.verifiedHosts.onHeard(from);
         this.members.onMessageFrom(from);
         this.handleMessage(from, item);
       },
@@ -229,6 +229,10 @@
     const {directory} = this;
     const config = () => directory.poolConfig;
     const serving = () => this.members.serving;
+    this.verifiedHosts = new verifiedhosts.VerifiedHosts({
+      ...{host, clock, log},
+      probe: name => this.members.probeUnresponsive(name),
+    });
     this.members = new membersModule.Members({
       ...{table: options.table, router, timeline, clock, random},
       self: {
@@ -247,6 +251,7 @@
       onConfigState: (from, state) => this.onPeerConfigState(from, state),
       onChange: () => {
         this.slots.onMembers();
+        this.verifiedHosts.onMembers(this.members.view);
         this.feedRelay.onMembers();
         this.upstream.closeIdleExcept(
           new Set(serving().map(member => member.host)),
@@ -801,7 +806,9 @@
     const caller = response.socket?.remoteAddress ?? '';
     this.cutOffHosts.onState(settings.host, this.paths.isCutOff);
     const usable = this.cutOffHosts.usable(serving);
-    const selected = addresses.selectHosts(usable, {...query, caller});
+    const selected = this.verifiedHosts.select(usable, hosts =>
+      addresses.selectHosts(hosts, {...query, caller}),
+    );
     const callerAddresses = selected.map(member => member.callerUrl);
     const body = formats.formatAddresses(callerAddresses, ADDRESS_TTL_MS);
     listeners.respond(response, 200, body, 'application/json');
@@ -815,6 +822,9 @@
     metrics.setGauge('configuration_version', 'Version in force.', version);
     const hosts = this.members.serving.length;
     metrics.setGauge('serving_hosts', 'Hosts known to serve.', hosts);
+    const unverified = this.verifiedHosts.unverified(this.members.serving);
+    const unverifiedHelp = 'Serving hosts that lookups do not name yet.';
+    metrics.setGauge('unverified_hosts', unverifiedHelp, unverified);
     const {connectionsOpened: connections} = this.upstream;
     metrics.setGauge('backend_connections', 'Connections opened.', connections);
     const cutHelp = 'Backend servers that only other hosts reach.';
@@ -893,17 +903,6 @@
     ),
 };
 
-/** The log events written for the timeline's events; others are not logged. */
-const TIMELINE_EVENTS: Readonly<
-  Partial<Record<timelines.EventKind, logs.LogEvent>>
-> = {
-  member: 'host',
-  partition: 'host',
-  keeper: 'host',
-  alone: 'host',
-  crash: 'suspect',
-};
-
 const EVENT_BY_RESULT: Readonly<
   Record<dispatchers.DispatchResult['kind'], logs.LogEvent>
 > = {
--- a/packages/gateway/src/logs.ts
+++ b/packages/gateway/src/logs.ts
@@ -24,6 +24,7 @@
   | 'link-cut'
   | 'link-restored'
   | 'host'
+  | 'hosts-lost'
   | 'rollout'
   | 'refused'
   | 'sent'
