--- a/packages/gateway/src/coldservers.test.ts
+++ b/packages/gateway/src/coldservers.test.ts
@@ -20,14 +20,16 @@
 function site(isConfigured = true): Site {
   const clock = new decisions.clock.FakeClock();
   const changed: string[] = [];
-  const service = () => ({warmup: {durationMs: 3000, perS: 8}});
+  const settings = {warmup: {durationMs: 3000, perS: 8}};
+  const service = () => settings;
+  const fields = {services: [settings]};
   const made: {-readonly [K in keyof Site]: Site[K]} = {
     ...{clock, changed, part: 1, entriesAgeMs: 0},
     cold: new coldservers.ColdServers({
       clock,
       directory: {
         entry: (id: string) => (id === 'a' ? {id, service: 's'} : undefined),
-        configuration: isConfigured ? {service} : undefined,
+        configuration: isConfigured ? {service, fields} : undefined,
       } as unknown as directories.Directory,
       bounds: {overshoot: 1.5, tolerance: 5},
       part: () => made.part,
--- a/packages/gateway/src/coldservers.ts
+++ b/packages/gateway/src/coldservers.ts
@@ -133,6 +133,7 @@
   /** Reports the limits that changed, with an entry, the configuration or time. */
   update(): void {
     const {log, metrics, onChange} = this.options;
+    if (!this.isNeeded) return;
     for (const id of new Set([...this.known.keys(), ...this.reported.keys()])) {
       const before = this.reported.get(id);
       const limitPerS = this.limitPerSOf(id);
@@ -170,6 +171,13 @@
     return part() < 1 && entriesAgeMs() > MAX_ENTRIES_AGE_MS;
   }
 
+  /** False if no service has cold servers. */
+  private get isNeeded(): boolean {
+    const {configuration} = this.options.directory;
+    if (!configuration || this.reported.size > 0) return true;
+    return configuration.fields.services.some(({warmup}) => warmup);
+  }
+
   private isUsed(server: string): boolean {
     return this.options.directory.entry(server) !== undefined;
   }
