--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -8,6 +8,7 @@
 import type * as statementsModule from '@banyanhall/fleet/statements.js';
 import * as forwarding from '@banyanhall/forwarding';
 
+import type * as coldservers from './coldservers.js';
 import type * as fleetlimits from './fleetlimits.js';
 import type * as callerresponses from './callerresponse.js';
 import * as directories from './directory.js';
@@ -17,9 +18,11 @@
 import * as regionsModule from './regions.js';
 import * as requests from './request.js';
 import type * as rollouts from './rollouts.js';
+import type * as serverlimits from './serverlimits.js';
 import * as shutdowns from './shutdown.js';
 import * as silences from './silence.js';
 import * as suspectrejections from './suspectrejections.js';
+import * as unreadablestatements from './unreadablestatements.js';
 
 /** The maximum number of attempts of a request whatever its route allows, including attempts refused by backend servers. */
 const MAX_ATTEMPTS = 4;
@@ -34,9 +37,6 @@
 const SILENT_MS = 1100;
 /** The number of events after which the pace of a stream is compared between versions, so that slow streams count before they end. */
 const PACE_EVENTS = 8;
-/** The most starts of backend servers of which it is remembered that an unreadable statement was logged. */
-const MAX_UNREADABLE_STARTS = 1024;
-const MAX_LOGGED_CHARS = 200;
 const OK = 200;
 const SERVER_ERROR = 500;
 /** The default retry-after time when no backend server accepted the request. */
@@ -57,6 +57,8 @@
   readonly slots: slotsModule.Slots;
   readonly crashes: crashesModule.Crashes;
   readonly statements: statementsModule.Statements;
+  readonly limits: serverlimits.ServerLimits;
+  readonly cold: coldservers.ColdServers;
   readonly fleetLimits: fleetlimits.FleetLimits;
   readonly rollouts: rollouts.Rollouts;
   readonly regions: regionsModule.Regions;
@@ -145,15 +147,22 @@
 
 const RETRY: RetryDecision = {kind: 'again'};
 
+/** The outcome of a slot that was not used. */
+const CANCELLED: decisions.runner.Outcome = {kind: 'cancelled'};
+/** The outcome of a slot whose backend server left or was evacuated before the send. */
+const GONE: decisions.runner.Outcome = {kind: 'not-admitted', isLeaving: true};
+
 /** Dispatches requests to backend servers and relays the responses. */
 export class Dispatcher {
-  /** The starts of backend servers of which an unreadable statement was logged. */
-  private readonly unreadableStarts = new Set<string>();
-
   /** The number of slot requests so far. */
   private slotRequests = 0;
 
-  constructor(private readonly options: DispatcherOptions) {}
+  private readonly unreadable: unreadablestatements.UnreadableStatements;
+
+  constructor(private readonly options: DispatcherOptions) {
+    const {log} = options;
+    this.unreadable = new unreadablestatements.UnreadableStatements(log);
+  }
 
   /**
    * Dispatches one request, with retries, until it is answered or no retry is
@@ -236,7 +245,7 @@
     signal: AbortSignal,
     charged: Promise<requests.Rejection | undefined>,
   ): Promise<RetryDecision> {
-    const {directory, slots, rollouts, regions, metrics} = this.options;
+    const {cold, directory, slots, rollouts, regions, metrics} = this.options;
     const {repeat} = progress;
     progress.repeat = undefined;
     if (repeat) {
@@ -265,8 +274,14 @@
       if (!(error instanceof decisions.verdict.FailureError)) throw error;
       const {type, retryAfterMs} = error.failure;
       const waitedMs = this.nowMs - accepted.received.arrivedMs;
-      const detail = `tier ${accepted.tier}, ${pool.backendServers.length} servers, waited ${Math.round(waitedMs)} ms${this.describeLimits(pool)}${regionsModule.describe(accepted)}`;
+      const detail = `tier ${accepted.tier}, ${pool.backendServers.length} servers, waited ${Math.round(waitedMs)} ms${this.options.limits.describe(pool)}${regionsModule.describe(accepted)}`;
       if (signal.aborted) return this.endAborted(progress, signal, detail);
+      const next = regions.poolFor(accepted, usesCandidate)?.pool;
+      if (type === 'no-backend-server' && next && next.name !== pool.name) {
+        // The version that the request waited for has no backend server any more, another has.
+        progress.isRetryCounted = progress.attempts > 0;
+        return RETRY;
+      }
       if (type === 'no-backend-server' && accepted.allowedRegions) {
         return this.giveUpWithoutServer(accepted, progress, detail);
       }
@@ -286,8 +301,9 @@
         (this.nowMs - accepted.received.arrivedMs) / 1000,
       );
       const entry = directory.entry(grant.server.name);
-      if (!entry) {
-        slots.done(grant.ticketId, {kind: 'not-admitted', isLeaving: true});
+      if (!entry || !cold.trySend(entry.id)) {
+        slots.done(grant.ticketId, entry ? CANCELLED : GONE);
+        progress.isRetryCounted = progress.attempts > 0;
         return RETRY;
       }
       const {isSuspect} = slotRequest;
@@ -369,7 +385,7 @@
     signal: AbortSignal,
     onConnected?: () => void,
   ): Promise<forwarding.upstream.AttemptResult> {
-    const {dialect, upstream, log, metrics, statements} = this.options;
+    const {cold, dialect, upstream, log, metrics, statements} = this.options;
     const {received, route} = accepted;
     const {names} = dialect;
     const {entry, grant} = attempt;
@@ -394,6 +410,7 @@
       waitedMs: Math.round(attempt.sentMs - received.arrivedMs),
       heldBackMs: grant.heldBackMs || undefined,
       limitPerS,
+      coldPerS: cold.limitPerSOf(entry.id),
     });
     if (limitPerS !== undefined) metrics.limitedSends.inc({server: entry.id});
     const result = await upstream.send(
@@ -417,7 +434,7 @@
       AbortSignal.any([signal, attempt.cut.signal]),
     );
     if (result.statements) {
-      this.logUnreadable(entry, result.statements.unreadable);
+      this.unreadable.report(entry, result.statements.unreadable);
       statements.onAnswer(
         ...([received.id, start, sentRevisions, result.statements] as const),
       );
@@ -631,7 +648,8 @@
       repeat &&
       !signal.aborted &&
       this.isUsable(repeat, accepted, progress) &&
-      fleetLimits.tryCountRetry(service)
+      fleetLimits.tryCountRetry(service) &&
+      this.options.cold.trySend(repeat.entry.id)
     ) {
       return repeat;
     }
@@ -676,36 +694,6 @@
     return relayedMs + route.callerPatienceMs;
   }
 
-  /** Logs once for a start of a backend server that it states something that can't be read. */
-  private logUnreadable(
-    entry: directories.ServerEntry,
-    unreadable: readonly string[],
-  ): void {
-    const start = directories.startOf(entry);
-    if (unreadable.length === 0 || this.unreadableStarts.has(start)) return;
-    if (this.unreadableStarts.size >= MAX_UNREADABLE_STARTS) {
-      this.unreadableStarts.clear();
-    }
-    this.unreadableStarts.add(start);
-    this.options.log.event('bad-input', '', {
-      ...{what: 'statement of a backend server', key: entry.id},
-      detail: unreadable.join('; ').slice(0, MAX_LOGGED_CHARS),
-    });
-  }
-
-  /** Describes the limits in a pool, for the log; empty if no backend server states one. */
-  private describeLimits({backendServers}: decisions.config.Service): string {
-    const limits = backendServers.flatMap(({name}) => {
-      const entry = this.options.directory.entry(name);
-      if (!entry) return [];
-      const start = directories.startOf(entry);
-      return this.options.statements.valueOf(start, 'limit') ?? [];
-    });
-    if (limits.length === 0) return '';
-    const sumPerS = limits.reduce((sum, limit) => sum + limit, 0);
-    return `, ${limits.length} of them limited to ${sumPerS.toFixed(1)} requests/s together`;
-  }
-
   /** Relays a response: event streams chunk by chunk, others once their body is complete. */
   private relay(
     accepted: requests.AcceptedRequest,
@@ -944,7 +932,7 @@
     attempt: Attempt,
     failure: forwarding.upstream.AttemptFailure,
   ): Promise<void> {
-    const {slots, crashes, directory} = this.options;
+    const {cold, slots, crashes, directory} = this.options;
     const {entry, grant} = attempt;
     const isBroken =
       failure.cause === 'reset' || failure.cause === 'broken-answer';
@@ -954,12 +942,9 @@
       this.addSample(accepted, attempt, failure.verdict !== 'not-run', 0, 0);
     }
     if (hasCrashed) crashes.recordCrash(entry.id);
-    slots.done(
-      grant.ticketId,
-      isInDoubt
-        ? {kind: 'cancelled'}
-        : failures.OUTCOMES[failure.cause](hasCrashed),
-    );
+    const outcome = failures.OUTCOMES[failure.cause](hasCrashed);
+    if (!isInDoubt) cold.onOutcome(entry.id, outcome);
+    slots.done(grant.ticketId, isInDoubt ? {kind: 'cancelled'} : outcome);
     if (failure.cause === 'wrong-server') {
       directory.onServerEntry(entry.id, undefined);
     }
--- a/packages/gateway/src/host.ts
+++ b/packages/gateway/src/host.ts
@@ -14,7 +14,6 @@
 import * as routers from '@banyanhall/fleet/router.js';
 import * as slotsModule from '@banyanhall/fleet/slots.js';
 import * as statementsModule from '@banyanhall/fleet/statements.js';
-import * as timelines from '@banyanhall/fleet/timeline.js';
 import * as forwarding from '@banyanhall/forwarding';
 import * as peers from '@banyanhall/peers';
 import type * as platform from '@banyanhall/platform';
@@ -26,7 +25,9 @@
 import * as fleetlimits from './fleetlimits.js';
 import * as callerconnections from './callerconnections.js';
 import * as callerresponses from './callerresponse.js';
+import * as coldservers from './coldservers.js';
 import * as dispatchers from './dispatcher.js';
+import * as evacuationsModule from './evacuations.js';
 import * as directories from './directory.js';
 import * as listeners from './listeners.js';
 import * as logs from './logs.js';
@@ -35,9 +36,12 @@
 import * as regionsModule from './regions.js';
 import * as requests from './request.js';
 import * as rollouts from './rollouts.js';
+import * as serverlimits from './serverlimits.js';
 import * as shutdowns from './shutdown.js';
 import * as suspectrejections from './suspectrejections.js';
+import * as timelinelog from './timelinelog.js';
 import * as tunnelsModule from './tunnels.js';
+import * as verifiedhosts from './verifiedhosts.js';
 
 /** How long callers may cache an address response, in milliseconds. */
 const ADDRESS_TTL_MS = 1000;
@@ -81,6 +85,8 @@
   readonly cores: number;
   readonly fleetLimits: fleetlimits.FleetLimitSettings;
   readonly quota: allowancesModule.QuotaSettings;
+  /** The bound of requests to cold backend servers. */
+  readonly warmup: decisions.coldstart.WarmupBounds;
 }
 
 /** The platform's formats of readiness checks, address queries and configurations; supplied by the platform adapter. */
@@ -141,6 +147,10 @@
   private readonly slots: slotsModule.Slots;
   private readonly crashes: crashesModule.Crashes;
   private readonly statements: statementsModule.Statements;
+  readonly evacuations: evacuationsModule.Evacuations;
+  /** The backend servers that are cold after a start. */
+  readonly coldServers: coldservers.ColdServers;
+  private readonly serverLimits: serverlimits.ServerLimits;
   private readonly fleetLimits: fleetlimits.FleetLimits;
   private readonly allowances: allowancesModule.Allowances;
   private readonly dispatcher: dispatchers.Dispatcher;
@@ -163,9 +173,10 @@
   private stopped: Promise<void> | undefined;
   private configurationSource = '';
   private isReadyLogged = false;
+  private readonly verifiedHosts: verifiedhosts.VerifiedHosts;
   private readonly cutOffHosts = new addresses.CutOffHosts(this.clock);
   private readonly statementHandlers: StatementHandlers = {
-    limit: change => this.onLimit(change),
+    limit: change => this.serverLimits.onStatement(change),
     leaving: change => this.onLeaving(change),
   };
 
@@ -178,14 +189,12 @@
       decisions.rendezvous.hash32(`${host}${clock.nowMs()}`),
     );
     const {random} = this;
-    const timeline = new timelines.Timeline(host, event => {
-      const logged = TIMELINE_EVENTS[event.kind as timelines.EventKind];
-      if (logged) log.event(logged, event.requestId, {...event.detail});
-    });
+    const timeline = timelinelog.loggedTimeline(host, log);
     this.links = new peers.links.Links({
       host,
       secret: LINK_SECRET,
       onMessage: (from, item) => {
+        this.verifiedHosts.onHeard(from);
         this.members.onMessageFrom(from);
         this.handleMessage(from, item);
       },
@@ -201,9 +210,18 @@
       member: name => this.members.get(name),
     });
     const {router} = this;
+    this.evacuations = new evacuationsModule.Evacuations({
+      ...{log, metrics},
+      isKnownZone: name => name === zone || settings.regionByZone.has(name),
+      onChange: () => {
+        this.directory.onEvacuations();
+        this.logReady();
+      },
+    });
     this.directory = new directories.Directory({
       ...{clock, log, regionByZone: settings.regionByZone},
       heartbeatMs: settings.serverHeartbeatMs,
+      isEvacuated: name => this.evacuations.isEvacuated(name),
       onChange: () => {
         this.keeper.onConfig();
         this.slots.onMembers();
@@ -212,6 +230,10 @@
     const {directory} = this;
     const config = () => directory.poolConfig;
     const serving = () => this.members.serving;
+    this.verifiedHosts = new verifiedhosts.VerifiedHosts({
+      ...{host, clock, log},
+      probe: name => this.members.probeUnresponsive(name),
+    });
     this.members = new membersModule.Members({
       ...{table: options.table, router, timeline, clock, random},
       self: {
@@ -230,6 +252,7 @@
       onConfigState: (from, state) => this.onPeerConfigState(from, state),
       onChange: () => {
         this.slots.onMembers();
+        this.verifiedHosts.onMembers(this.members.view);
         this.feedRelay.onMembers();
         this.upstream.closeIdleExcept(
           new Set(serving().map(member => member.host)),
@@ -257,7 +280,9 @@
       ...{host, clock, router, timeline, config, serving},
       // Backend servers that leave are removed from the directory instead.
       serverList: {list: () => Promise.resolve([])},
-      limitPerSOf: server => this.ownLimitPerSOf(server),
+      limitPerSOf: server => this.serverLimits.ownLimitPerSOf(server),
+      onOutcome: (server, outcome) =>
+        this.coldServers.onOutcome(server, outcome),
     });
     this.slots = new slotsModule.Slots({
       ...{host, region, zone, clock, router, timeline, config, serving},
@@ -265,7 +290,7 @@
         fallbacks.chooseServer(slotRequest, {
           ...{region, random},
           heldOn: server => this.slots.heldOn(server),
-          limitPerSOf: server => this.limitPerSOf(server),
+          limitPerSOf: server => this.serverLimits.limitPerSOf(server),
         }),
       onUnanswered: keeper => this.members.probeUnresponsive(keeper),
     });
@@ -280,10 +305,21 @@
       isInUse: start => directory.entryOfStart(start) !== undefined,
       onChange: change => this.onStatement(change),
     });
+    const onLimit = (server: string) => this.keeper.onLimit(server);
+    const part = () => this.members.part;
+    this.coldServers = new coldservers.ColdServers({
+      ...{clock, directory, log, metrics, part, onChange: onLimit},
+      bounds: settings.warmup,
+      entriesAgeMs: () => this.feedRelay.oldestAnswerAgeMs,
+    });
+    this.serverLimits = new serverlimits.ServerLimits({
+      ...{directory, log, metrics, part, onChange: onLimit},
+      ...{statements: this.statements, cold: this.coldServers},
+    });
     this.fleetLimits = new fleetlimits.FleetLimits({
       ...{host, clock, random, settings: settings.fleetLimits},
       members: serving,
-      part: () => this.members.part,
+      ...{part},
       send: (to, item) => router.send(to, item),
       onUnanswered: hub => this.members.probeUnresponsive(hub),
     });
@@ -330,6 +366,7 @@
       regions: new regionsModule.Regions({
         ...{region, regionByZone, directory, metrics},
       }),
+      ...{limits: this.serverLimits, cold: this.coldServers},
     });
     router.connect(this.handlers());
     this.ingress = http.createServer(
@@ -353,11 +390,12 @@
     });
   }
 
-  /** True when this host has a configuration, all that it needs serves, and it is not stopping. */
+  /** True when this host has a configuration, knows the evacuated zones, all that it needs serves, and it is not stopping. */
   get isReady(): boolean {
     return (
       !this.shutdown.hasBegun &&
       this.directory.configuration !== undefined &&
+      this.evacuations.areKnown &&
       this.links.isListening &&
       this.neededServers.length > 0 &&
       this.neededServers.every(server => server.listening)
@@ -498,8 +536,11 @@
   /** The parts with timers of their own. */
   private get parts(): readonly Part[] {
     const {keeper, slots, crashes, statements, fleetLimits, feedRelay} = this;
-    const {paths} = this;
-    return [keeper, slots, crashes, statements, fleetLimits, feedRelay, paths];
+    const {paths, coldServers: cold} = this;
+    return [
+      ...[keeper, slots, crashes, statements, fleetLimits, feedRelay, paths],
+      cold,
+    ];
   }
 
   /** Handles a message of another host. An exception would end the link's reading, so that later messages are lost. */
@@ -704,20 +745,6 @@
       : shutdowns.rejection('too little time left');
   }
 
-  /** The requests a second that a backend server states to take. */
-  private limitPerSOf(server: string): number | undefined {
-    const entry = this.directory.entry(server);
-    return (
-      entry && this.statements.valueOf(directories.startOf(entry), 'limit')
-    );
-  }
-
-  /** The part of that limit which this side of a partition may use. */
-  private ownLimitPerSOf(server: string): number | undefined {
-    const limitPerS = this.limitPerSOf(server);
-    return limitPerS === undefined ? undefined : limitPerS * this.members.part;
-  }
-
   /** Applies a change of the part of the fleet that this host sees, to what it keeps for the fleet. */
   private onPart(): void {
     this.allowances.onPart();
@@ -775,27 +802,6 @@
     this.directory.onLeaving(start);
   }
 
-  /** Applies and logs a change of the limit of a backend server. */
-  private onLimit(change: statementsModule.StatementChange): void {
-    const {server: start, before, after, from, requestId, ageMs} = change;
-    const {log, metrics} = this.options;
-    const server = directories.idOfStart(start);
-    log.event('server-limit', requestId, {
-      ...{server, limitPerS: after, before},
-      change: limitChange(before, after),
-      from: from || 'answer',
-      beforeAgeMs: Math.round(ageMs),
-    });
-    this.keeper.onLimit(server);
-    const limitPerS = this.limitPerSOf(server);
-    if (limitPerS !== undefined) {
-      metrics.serverLimits.set({server}, limitPerS);
-      return;
-    }
-    metrics.serverLimits.remove({server});
-    metrics.limitedSends.remove({server});
-  }
-
   private respondWithAddresses(
     target: string,
     response: http.ServerResponse,
@@ -808,9 +814,11 @@
     );
     const caller = response.socket?.remoteAddress ?? '';
     this.cutOffHosts.onState(settings.host, this.paths.isCutOff);
-    const selected = addresses.hostsForCaller(
-      ...([serving, {...query, caller}, this.cutOffHosts] as const),
-      this.directory.configuration,
+    const selected = this.verifiedHosts.select(serving, hosts =>
+      addresses.hostsForCaller(
+        ...([hosts, {...query, caller}, this.cutOffHosts] as const),
+        this.directory.configuration,
+      ),
     );
     const callerAddresses = selected.map(member => member.callerUrl);
     const body = formats.formatAddresses(callerAddresses, ADDRESS_TTL_MS);
@@ -825,6 +833,9 @@
     metrics.setGauge('configuration_version', 'Version in force.', version);
     const hosts = this.members.serving.length;
     metrics.setGauge('serving_hosts', 'Hosts known to serve.', hosts);
+    const unverified = this.verifiedHosts.unverified(this.members.serving);
+    const unverifiedHelp = 'Serving hosts that lookups do not name yet.';
+    metrics.setGauge('unverified_hosts', unverifiedHelp, unverified);
     const {connectionsOpened: connections} = this.upstream;
     metrics.setGauge('backend_connections', 'Connections opened.', connections);
     const cutHelp = 'Backend servers that only other hosts reach.';
@@ -903,26 +914,6 @@
     ),
 };
 
-/** The log events written for the timeline's events; others are not logged. */
-const TIMELINE_EVENTS: Readonly<
-  Partial<Record<timelines.EventKind, logs.LogEvent>>
-> = {
-  member: 'host',
-  partition: 'host',
-  keeper: 'host',
-  alone: 'host',
-  'outside-regions': 'host',
-  crash: 'suspect',
-};
-
-function limitChange(
-  before: number | undefined,
-  after: number | undefined,
-): 'stated' | 'changed' | 'lifted' {
-  if (after === undefined) return 'lifted';
-  return before === undefined ? 'stated' : 'changed';
-}
-
 const EVENT_BY_RESULT: Readonly<
   Record<dispatchers.DispatchResult['kind'], logs.LogEvent>
 > = {
