A host that the store refuses follows all batches of other watchers

Seen: "three host processes obey an evacuation" failed once in its sixth run on the code before ("h0: not begun"): the refused host got no evacuation.

Cause: watchers sent each other only batches with rows. The position of a table also rises in batches without rows, as it counts writes to all tables, so a batch with rows did not follow on what the refused host had.

Change: watchers send each other all batches that change the position; a refused host takes all that follow on each other. The unit test has a batch without rows.

--- a/packages/fleet/src/feedrelay.test.ts
+++ b/packages/fleet/src/feedrelay.test.ts
@@ -373,9 +373,11 @@
   const fleet = new Fleet(4, 1);
   const [refused] = fleet.watchers;
   fleet.unanswered.add(refused);
-  fleet.read(10, 12, [row(12)]);
-  const taken = fleet.of(refused).take(TABLE, at(10));
-  assert.deepEqual(batchOf(taken).rows, [row(12)]);
+  fleet.read(10, 11, []);
+  fleet.read(11, 12, [row(12)]);
+  const first = batchOf(fleet.of(refused).take(TABLE, at(10)));
+  const next = fleet.of(refused).take(TABLE, first.to);
+  assert.deepEqual(batchOf(next).rows, [row(12)]);
   assert.equal(fleet.of(refused).take(TABLE, at(12)), undefined);
   assert.equal(fleet.of(refused).take(TABLE, at(11, 2)), undefined);
   fleet.unanswered.clear();
--- a/packages/fleet/src/feedrelay.ts
+++ b/packages/fleet/src/feedrelay.ts
@@ -327,8 +327,9 @@
     const watchers = this.currentWatchers();
     for (const member of serving()) {
       if (!isSmall && member.zone !== zone) continue;
-      // Other watchers read the store themselves, and need changes if it does not answer them.
-      if (watchers.includes(member.host) && body.rows.length === 0) continue;
+      // Other watchers read the store themselves. If it does not answer them they need all batches, as each one follows on another.
+      const isHeartbeat = body.fromRevision === toRevision;
+      if (watchers.includes(member.host) && isHeartbeat) continue;
       if (member.host === this.options.host) continue;
       send(member.host, {kind: 'feed', body});
     }
