--- a/packages/gateway/src/regions.test.ts
+++ b/packages/gateway/src/regions.test.ts
@@ -40,6 +40,7 @@
       send: ({address}: {readonly address: string}) => sent.push(address),
     },
     crashes: {standingOf: () => ({status: 'clear'})},
+    ...{cold: {trySend: () => true}, limits: {describe: () => ''}},
     rollouts: {usesCandidate: () => false},
     statements: {valueOf: () => undefined},
     shutdown: {abortWhen: () => () => undefined, hasTimeFor: () => true},
