One account of what a host holds for callers, with limits

Callers of many header lines, many small chunks or requests that do not end made a process run out of memory, since heads, connections and unparsed input were not counted and the limits of the configuration were not enforced.

First form: the account counts heads, bodies, responses and connections; a gate parses input in slices, with pauses after small chunks; heads and bodies without progress are ended; 431, 413 and 408.

--- /dev/null
+++ b/packages/decisions/src/closingorder.ts
@@ -0,0 +1,61 @@
+/*
+ * The order in which callers lose their memory or connection when a host is at
+ * a bound.
+ */
+
+/** How far a request is, or that of a connection that is being read. */
+export type Stage = 'refused' | 'reading' | 'running' | 'ready';
+
+/** What may be ended at a bound. */
+export interface Candidate {
+  readonly stage: Stage;
+  /** When its caller last sent something that counts, on the monotonic clock. */
+  readonly progressMs: number;
+  /** What ending it frees. */
+  readonly bytes: number;
+}
+
+/** A request that is being read counts as stalled after this time without progress; senders of one body on a working network pause for less. */
+export const STALL_MS = 1000;
+
+const RANKS: Readonly<Record<Stage, number>> = {
+  refused: 0,
+  reading: 2,
+  running: 2,
+  ready: 3,
+};
+const STALLED_RANK = 1;
+
+/** True for a request that is being read and makes no progress. */
+export function isStalled(candidate: Candidate, nowMs: number): boolean {
+  return (
+    candidate.stage === 'reading' && nowMs - candidate.progressMs >= STALL_MS
+  );
+}
+
+/**
+ * Chooses what to end first: refused ones, then the longest stalled, then the
+ * largest; complete responses last. The latest among equals is ended.
+ */
+export function firstToEnd<C extends Candidate>(
+  candidates: Iterable<C>,
+  nowMs: number,
+): C | undefined {
+  let first: C | undefined;
+  for (const candidate of candidates) {
+    if (!first || !isBefore(first, candidate, nowMs)) first = candidate;
+  }
+  return first;
+}
+
+function rankOf(candidate: Candidate, nowMs: number): number {
+  return isStalled(candidate, nowMs) ? STALLED_RANK : RANKS[candidate.stage];
+}
+
+/** True if `a` is ended before `b`, which is later. */
+function isBefore(a: Candidate, b: Candidate, nowMs: number): boolean {
+  const [rankA, rankB] = [rankOf(a, nowMs), rankOf(b, nowMs)];
+  if (rankA !== rankB) return rankA < rankB;
+  const isLonger = rankA === STALLED_RANK && a.progressMs !== b.progressMs;
+  return isLonger ? a.progressMs < b.progressMs : a.bytes > b.bytes;
+}
--- a/packages/forwarding/src/buffers.ts
+++ b/packages/forwarding/src/buffers.ts
@@ -1,50 +1,122 @@
 /*
- * One account of the bytes that a process buffers for requests. Each request is
- * bounded by itself; the account bounds their sum.
+ * One account of what a process holds for callers and requests: connections,
+ * heads, bodies and responses. Each request is bounded by itself; the account
+ * bounds their sums.
  */
 
 import type * as stream from 'node:stream';
 
+import * as decisions from '@banyanhall/decisions';
+
 /** From this share of the limit on, requests that hold much read more slowly. */
 const CROWDED_SHARE = 0.5;
 /** A request that holds a smaller share of the limit never reads more slowly. */
 const LARGE_SHARE = 0.005;
 /** The pause after each chunk of a request that reads more slowly. */
-const PAUSE_MS = 50;
+export const PAUSE_MS = 50;
 /** A pause after a smaller chunk would let many parsed ones wait. */
 const MIN_PAUSED_CHUNK_BYTES = 1024;
 
 /** Added for each chunk, since a buffer has a size of its own. */
-const CHUNK_OVERHEAD_BYTES = 256;
+export const CHUNK_OVERHEAD_BYTES = 256;
 
 /** Why a request was ended for room; the reason of its signal. */
 export const NO_ROOM_REASON = new Error('no room in the buffers');
 
+/** What memory is held for. */
+export type HeldClass = 'connections' | 'heads' | 'bodies' | 'responses';
+
+/** All classes. */
+export const HELD_CLASSES: readonly HeldClass[] = [
+  'connections',
+  'heads',
+  'bodies',
+  'responses',
+];
+
+/** Limits besides that of bodies and responses; none by default. */
+export interface AccountLimits {
+  /** The most bytes of heads. */
+  readonly headBytes: number;
+  /** The most bytes of all classes together. */
+  readonly sumBytes: number;
+}
+
+const NO_LIMITS: AccountLimits = {headBytes: Infinity, sumBytes: Infinity};
+
+/** How the account acts on what a holding stands for. */
+export interface HoldingOptions {
+  /** The stage at first; `running` by default. */
+  readonly stage?: decisions.closingorder.Stage;
+  /** Closes the connection at once. */
+  readonly close?: () => void;
+}
+
 /** What one request holds in buffers. */
 export interface Holding {
-  /** Adds a chunk that was read from `source`, which is paused for a moment if the buffers fill. */
+  /** Adds a chunk of a response that was read from `source`, which is paused for a moment if the buffers fill. */
   addChunk(bytes: number, source?: stream.Readable): void;
   /** Sets how many bytes of a part that grows and shrinks are held, such as of an event that is not complete. */
-  setPart(part: string, bytes: number): void;
+  setPart(part: string, bytes: number, heldClass?: HeldClass): void;
+  /** True if the next chunk of this size is to be read after a pause. */
+  isSlowed(chunkBytes: number): boolean;
   /** Aborted with `NO_ROOM_REASON` when the request is to be ended for room. */
   readonly signal: AbortSignal;
+  /** Its caller sent something that counts. */
+  markProgress(): void;
+  /** Changes how far it has come. */
+  setStage(stage: decisions.closingorder.Stage): void;
   /** Spares the request from now on, as long as others can be ended: its answer is complete. */
   markReady(): void;
   /** Ends the holding. */
   release(): void;
 }
 
-/** The bytes that all requests hold, up to a limit. At the limit, the largest request without a complete answer is ended, the latest among equals. */
+/** A bound on some classes together. */
+interface Bound {
+  readonly classes: readonly HeldClass[];
+  readonly limitBytes: number;
+}
+
+/**
+ * The bytes that all connections and requests hold, up to limits. At a limit,
+ * `decisions.closingorder` chooses the one that is ended. An ended one is
+ * counted until it is released.
+ */
 export class BufferAccount {
   private readonly holdings = new Set<OpenHolding>();
-  private sumBytes = 0;
+  private readonly ending = new Set<OpenHolding>();
+  private readonly sums = noBytes();
+  private endingSumBytes = 0;
   private endedCount = 0;
+  private readonly bounds: readonly Bound[];
 
-  constructor(readonly limitBytes: number) {}
+  /** `limitBytes` is the most bytes of bodies and responses. */
+  constructor(
+    readonly limitBytes: number,
+    limits: AccountLimits = NO_LIMITS,
+    private readonly nowMs: () => number = () => performance.now(),
+  ) {
+    this.bounds = [
+      {classes: ['bodies', 'responses'], limitBytes},
+      {classes: ['heads'], limitBytes: limits.headBytes},
+      {classes: HELD_CLASSES, limitBytes: limits.sumBytes},
+    ];
+  }
 
-  /** The bytes held now. */
+  /** The bytes of bodies and responses held now. */
   get heldBytes(): number {
-    return this.sumBytes;
+    return this.sums.bodies + this.sums.responses;
+  }
+
+  /** The bytes held now, by class. */
+  get heldByClass(): Readonly<Record<HeldClass, number>> {
+    return this.sums;
+  }
+
+  /** The bytes of ended requests whose connection has not closed yet. */
+  get endingBytes(): number {
+    return this.endingSumBytes;
   }
 
   /** The number of requests that were ended for room. */
@@ -52,9 +124,9 @@
     return this.endedCount;
   }
 
-  /** Opens the holding of a request. */
-  open(): Holding {
-    const holding = new OpenHolding(this);
+  /** Opens the holding of a request or connection. */
+  open(options: HoldingOptions = {}): Holding {
+    const holding = new OpenHolding(this, options, this.nowMs);
     this.holdings.add(holding);
     return holding;
   }
@@ -62,70 +134,146 @@
   /** True if a request with so many bytes is to read more slowly. */
   isSlowed(bytes: number): boolean {
     return (
-      this.sumBytes > this.limitBytes * CROWDED_SHARE &&
+      this.heldBytes > this.limitBytes * CROWDED_SHARE &&
       bytes > this.limitBytes * LARGE_SHARE
     );
   }
 
   /** Counts a change of an open holding, and ends others or itself for room. */
-  change(holding: OpenHolding, bytes: number): void {
+  change(holding: OpenHolding, heldClass: HeldClass, bytes: number): void {
     if (!this.holdings.has(holding)) return;
-    holding.bytes += bytes;
-    this.sumBytes += bytes;
-    while (this.sumBytes > this.limitBytes) this.endLargest();
+    holding.held[heldClass] += bytes;
+    this.sums[heldClass] += bytes;
+    if (bytes <= 0) return;
+    for (const bound of this.bounds) {
+      if (bound.classes.includes(heldClass)) this.makeRoom(bound);
+    }
   }
 
   /** Forgets a holding. */
   close(holding: OpenHolding): void {
-    if (this.holdings.delete(holding)) this.sumBytes -= holding.bytes;
+    if (this.ending.delete(holding)) {
+      this.endingSumBytes -= bytesOf(holding, HELD_CLASSES);
+    }
+    if (!this.holdings.delete(holding)) return;
+    for (const each of HELD_CLASSES) this.sums[each] -= holding.held[each];
   }
 
-  private endLargest(): void {
-    let largest: OpenHolding | undefined;
-    for (const holding of this.holdings) {
-      if (!largest || !isBefore(largest, holding)) largest = holding;
+  private makeRoom({classes, limitBytes}: Bound): void {
+    const isOver = (extraBytes: number) => {
+      let bytes = extraBytes;
+      for (const each of classes) bytes += this.sums[each];
+      return bytes > limitBytes;
+    };
+    if (this.ending.size > 0 && isOver(this.endingSumBytes)) {
+      for (const holding of [...this.ending]) holding.closeConnection();
+    }
+    while (isOver(0)) {
+      if (!this.endFirst(classes)) return;
     }
-    if (!largest) return;
-    this.close(largest);
+  }
+
+  private endFirst(classes: readonly HeldClass[]): boolean {
+    const first = decisions.closingorder.firstToEnd(
+      candidates(this.holdings, classes),
+      this.nowMs(),
+    );
+    if (!first) return false;
+    const {holding} = first;
+    this.close(holding);
+    this.ending.add(holding);
+    this.endingSumBytes += bytesOf(holding, HELD_CLASSES);
     this.endedCount++;
-    largest.end();
+    holding.end();
+    return true;
+  }
+}
+
+interface EndableHolding extends decisions.closingorder.Candidate {
+  readonly holding: OpenHolding;
+}
+
+/** The holdings that hold something of these classes. What an idle connection itself costs frees too little. */
+function* candidates(
+  holdings: Iterable<OpenHolding>,
+  classes: readonly HeldClass[],
+): Generator<EndableHolding> {
+  for (const holding of holdings) {
+    const bytes = bytesOf(holding, classes);
+    const ownBytes = classes.includes('connections')
+      ? holding.held.connections
+      : 0;
+    if (bytes <= ownBytes) continue;
+    yield {
+      ...{holding, bytes, stage: holding.stage},
+      progressMs: holding.progressMs,
+    };
   }
 }
 
-/** True if `a` is to be ended before `b`, which is later. */
-function isBefore(a: OpenHolding, b: OpenHolding): boolean {
-  return a.isReady === b.isReady ? a.bytes > b.bytes : b.isReady;
+function bytesOf(holding: OpenHolding, classes: readonly HeldClass[]): number {
+  let bytes = 0;
+  for (const each of classes) bytes += holding.held[each];
+  return bytes;
+}
+
+function noBytes(): Record<HeldClass, number> {
+  return {connections: 0, heads: 0, bodies: 0, responses: 0};
 }
 
 class OpenHolding implements Holding {
-  bytes = 0;
-  isReady = false;
+  readonly held = noBytes();
+  stage: decisions.closingorder.Stage;
+  progressMs: number;
   private readonly parts = new Map<string, number>();
   private readonly controller = new AbortController();
 
-  constructor(private readonly account: BufferAccount) {}
+  constructor(
+    private readonly account: BufferAccount,
+    private readonly options: HoldingOptions,
+    private readonly nowMs: () => number,
+  ) {
+    this.stage = options.stage ?? 'running';
+    this.progressMs = nowMs();
+  }
 
   get signal(): AbortSignal {
     return this.controller.signal;
   }
 
   addChunk(bytes: number, source?: stream.Readable): void {
-    this.account.change(this, bytes + CHUNK_OVERHEAD_BYTES);
-    if (!source || bytes < MIN_PAUSED_CHUNK_BYTES) return;
-    if (!this.account.isSlowed(this.bytes)) return;
+    this.account.change(this, 'responses', bytes + CHUNK_OVERHEAD_BYTES);
+    if (!source || !this.isSlowed(bytes)) return;
     source.pause();
     setTimeout(() => source.resume(), PAUSE_MS);
   }
 
-  setPart(part: string, bytes: number): void {
+  isSlowed(chunkBytes: number): boolean {
+    if (chunkBytes < MIN_PAUSED_CHUNK_BYTES) return false;
+    return this.account.isSlowed(this.held.bodies + this.held.responses);
+  }
+
+  setPart(
+    part: string,
+    bytes: number,
+    heldClass: HeldClass = 'responses',
+  ): void {
     const before = this.parts.get(part) ?? 0;
     if (bytes === before) return;
     this.parts.set(part, bytes);
-    this.account.change(this, bytes - before);
+    this.account.change(this, heldClass, bytes - before);
+  }
+
+  markProgress(): void {
+    this.progressMs = this.nowMs();
+  }
+
+  setStage(stage: decisions.closingorder.Stage): void {
+    this.stage = stage;
   }
 
   markReady(): void {
-    this.isReady = true;
+    this.stage = 'ready';
   }
 
   release(): void {
@@ -135,4 +283,8 @@
   end(): void {
     this.controller.abort(NO_ROOM_REASON);
   }
+
+  closeConnection(): void {
+    this.options.close?.();
+  }
 }
--- /dev/null
+++ b/packages/gateway/src/callerbounds.ts
@@ -0,0 +1,53 @@
+/*
+ * The bounds on what a process holds for callers, from the memory and the file
+ * descriptors of its machine. docs/operators/client-limits.md lists them.
+ */
+
+/** The descriptors of `limits.max-fds` that are for files. */
+const FILE_DESCRIPTORS = 200;
+/** The share of the others that is kept for hosts, backend servers and the store. */
+const RESERVED_SHARE = 0.3;
+/** The same for connections that query addresses. */
+const LOOKUP_SHARE = 0.1;
+/** What an open connection costs; 10 to 23 KB were measured as resident memory, the higher value for the first ones. */
+export const CONNECTION_BYTES = 16_384;
+/** The share of the memory that connections may take by themselves. */
+const CONNECTION_SHARE = 0.16;
+/** The share that heads may take. */
+const HEAD_SHARE = 0.12;
+/** The share that heads, bodies, responses and connections may take together; a process takes about 70 MB without them, and half as much again as is counted. */
+const SUM_SHARE = 0.3;
+
+/** What a process may hold for callers. */
+export interface CallerBounds {
+  /** The most connections of callers. */
+  readonly connections: number;
+  /** The most connections that query addresses. */
+  readonly lookupConnections: number;
+  readonly headBytes: number;
+  readonly sumBytes: number;
+}
+
+/** No bounds; for settings without any. */
+export const UNBOUNDED: CallerBounds = {
+  connections: Infinity,
+  lookupConnections: Infinity,
+  headBytes: Infinity,
+  sumBytes: Infinity,
+};
+
+/** The bounds of a machine; with endless descriptors only its memory bounds connections. */
+export function callerBounds(
+  memoryBytes: number,
+  maxDescriptors: number,
+): CallerBounds {
+  const usable = Math.max(0, maxDescriptors - FILE_DESCRIPTORS);
+  const byDescriptors = usable * (1 - RESERVED_SHARE - LOOKUP_SHARE);
+  const byMemory = (memoryBytes * CONNECTION_SHARE) / CONNECTION_BYTES;
+  return {
+    connections: Math.max(1, Math.floor(Math.min(byDescriptors, byMemory))),
+    lookupConnections: Math.max(1, Math.floor(usable * LOOKUP_SHARE)),
+    headBytes: memoryBytes * HEAD_SHARE,
+    sumBytes: memoryBytes * SUM_SHARE,
+  };
+}
--- /dev/null
+++ b/packages/gateway/src/callerconnection.ts
@@ -0,0 +1,290 @@
+/*
+ * One connection of a caller: what is read on it, for how long, and what it holds.
+ */
+import type * as http from 'node:http';
+import type * as net from 'node:net';
+
+import type * as decisions from '@banyanhall/decisions';
+import type * as forwarding from '@banyanhall/forwarding';
+import type * as routing from '@banyanhall/routing';
+
+import * as callerbounds from './callerbounds.js';
+import type * as callerclosures from './callerclosures.js';
+import * as callergate from './callergate.js';
+import * as requestbody from './requestbody.js';
+
+/** What a header line costs besides its bytes, as the parser and the request keep it; 50 to 140 bytes were measured. */
+const LINE_BYTES = 128;
+/** What a request costs besides its head and body. */
+const REQUEST_BYTES = 4096;
+/** The least bytes of a request line and of the end of a head besides method and target. */
+const REQUEST_LINE_BYTES = '  HTTP/1.1\r\n\r\n'.length;
+/** The least bytes of a header line besides name and value. */
+const SEPARATOR_BYTES = ':\r\n'.length;
+/** The most requests of a connection that are handled at once; further ones are read later. */
+const MAX_PIPELINED = 16;
+/** The most bytes of a body in a row that hold no content: an extension of a chunk, a trailer or a chunk's length may be as long as a head. */
+const MAX_FRAMING_BYTES = 65_536;
+const LINE_END = 0x0a;
+
+/** How far a request has come. */
+export type RequestStage = 'reading' | 'dispatching' | 'answering';
+
+/** A request whose answer has not been flushed to its connection. */
+export interface OpenRequest {
+  readonly id: string;
+  /** On the monotonic clock. */
+  readonly arrivedMs: number;
+  stage: RequestStage;
+}
+
+/** A request as it begins to be read. */
+export interface IncomingRequest {
+  readonly tracked: OpenRequest;
+  readonly holding: forwarding.buffers.Holding;
+  readonly body: requestbody.RequestBody;
+}
+
+/** Dependencies of `CallerConnection`. */
+export interface CallerConnectionOptions {
+  readonly account: forwarding.buffers.BufferAccount;
+  readonly turns: callergate.Turns;
+  /** Undefined before the first configuration. */
+  readonly limits: () => routing.configuration.CallerLimits | undefined;
+  /** The time in which this host looked after its connections; leaves out what it missed as its event loop was late. */
+  readonly watchedMs: () => number;
+  readonly onClosure: (cause: callerclosures.ClosureCause) => void;
+}
+
+/** The request that the parser reads. */
+interface Reading {
+  readonly request: http.IncomingMessage;
+  readonly holding: forwarding.buffers.Holding;
+  readonly body: requestbody.RequestBody;
+}
+
+/** The state of an open connection. */
+export class CallerConnection {
+  readonly requests = new Set<OpenRequest>();
+  readonly holding: forwarding.buffers.Holding;
+  /** The bytes read when its last response was flushed; more of them are the start of a request. */
+  private idleBytes = 0;
+  private readonly gate: callergate.Gate;
+  private reading: Reading | undefined;
+  private headBytes = 0;
+  private headLines = 0;
+  /** The bytes of the body since its last content. */
+  private framingBytes = 0;
+  private isUsed = false;
+  private isRefused = false;
+  private isClosing = false;
+  /** When the head that is awaited began, by `watchedMs`. */
+  private headStartMs: number;
+  /** When something was read, by `watchedMs`. */
+  private readMs: number;
+
+  constructor(
+    readonly socket: net.Socket,
+    private readonly options: CallerConnectionOptions,
+  ) {
+    const {account, turns} = options;
+    this.holding = account.open({
+      stage: 'reading',
+      close: () => socket.destroy(),
+    });
+    this.headStartMs = options.watchedMs();
+    this.readMs = this.headStartMs;
+    this.gate = new callergate.Gate(socket, {
+      turns,
+      bodyBytesAhead: () => this.reading?.body.bytesAhead ?? 0,
+      onParsed: (slice, chunks) => this.onParsed(slice, chunks),
+      onWaiting: bytes => this.holding.setPart('waiting', bytes, 'bodies'),
+      onTooManyChunks: () => this.close('small-chunks'),
+    });
+    socket.once('close', () => {
+      this.gate.discard();
+      this.holding.release();
+    });
+    this.holding.signal.addEventListener('abort', () => this.close('no-room'));
+    const {CONNECTION_BYTES: ownBytes} = callerbounds;
+    this.holding.setPart('own', ownBytes, 'connections');
+  }
+
+  /** Begins to read a request, which is tracked until the last byte of its response has been flushed or the connection has closed. */
+  begin(
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+    id: string,
+    arrivedMs: number,
+  ): IncomingRequest {
+    const {gate, socket} = this;
+    const tracked: OpenRequest = {id, arrivedMs, stage: 'reading'};
+    this.requests.add(tracked);
+    this.isUsed = true;
+    this.setHead(0, 0);
+    gate.countRequest();
+    const holding = this.options.account.open({
+      stage: 'reading',
+      close: () => socket.destroy(),
+    });
+    const wireBytes = wireBytesOf(request);
+    const lineCount = request.rawHeaders.length / 2;
+    const heldBytes = wireBytes + lineCount * LINE_BYTES + REQUEST_BYTES;
+    holding.setPart('head', heldBytes, 'heads');
+    const {maxBodyBytes = Infinity, maxHeaderBytes = Infinity} =
+      this.options.limits() ?? {};
+    const body = new requestbody.RequestBody(
+      ...([{request, gate, holding, maxBytes: maxBodyBytes}] as const),
+    );
+    if (wireBytes > maxHeaderBytes) body.end('head-too-large');
+    this.reading = {request, holding, body};
+    if (this.requests.size >= MAX_PIPELINED) gate.hold('pipelined');
+    response.once('close', () => {
+      holding.release();
+      this.requests.delete(tracked);
+      this.idleBytes = socket.bytesRead;
+      this.headStartMs = this.options.watchedMs();
+      if (this.requests.size < MAX_PIPELINED) gate.release('pipelined');
+    });
+    return {tracked, holding, body};
+  }
+
+  /** Marks that a request is refused before it was read; it is the first to be closed for room. */
+  onRefused(
+    {holding}: IncomingRequest,
+    cause: callerclosures.ClosureCause,
+  ): void {
+    this.isRefused = true;
+    holding.setStage('refused');
+    this.holding.setStage('refused');
+    this.options.onClosure(cause);
+  }
+
+  /** Marks that the body of a request was read; it is not ended for what its caller sends any more. */
+  onRead({tracked, holding}: IncomingRequest): void {
+    tracked.stage = 'dispatching';
+    holding.setStage('running');
+  }
+
+  /** True without a response in progress, if no further request has begun to arrive. */
+  get isIdle(): boolean {
+    return this.requests.size === 0 && this.socket.bytesRead === this.idleBytes;
+  }
+
+  /** How far its caller is; undefined for an idle one. */
+  get stage(): decisions.closingorder.Stage | undefined {
+    if (this.isRefused || this.isClosing) return 'refused';
+    for (const {stage} of this.requests) {
+      if (stage !== 'reading') return 'running';
+    }
+    const isReading =
+      !this.isUsed || this.headBytes > 0 || this.requests.size > 0;
+    return isReading ? 'reading' : undefined;
+  }
+
+  /** How long nothing was read on it, by the time in which this host looked. */
+  get quietMs(): number {
+    return this.gate.isHeld ? 0 : this.options.watchedMs() - this.readMs;
+  }
+
+  /** Ends it if it makes no progress; `slackMs` is the interval of these checks. */
+  check(slackMs: number): void {
+    const limits = this.options.limits();
+    if (!limits || this.isClosing) return;
+    const nowMs = this.options.watchedMs();
+    if (this.gate.isHeld) {
+      this.readMs = nowMs;
+      this.headStartMs = nowMs;
+      return;
+    }
+    const {reading} = this;
+    if (reading && !reading.request.complete) {
+      if (nowMs - this.readMs <= limits.idleTimeoutMs + slackMs) return;
+      reading.body.end('body-timeout');
+    } else if (
+      this.requests.size === 0 &&
+      (!this.isUsed || this.headBytes > 0) &&
+      nowMs - this.headStartMs > limits.headerTimeoutMs + slackMs
+    ) {
+      this.close('head-timeout', this.headBytes > 0 ? 408 : undefined);
+    }
+  }
+
+  /** Closes it for what its caller sends; with a status, a caller that waits for no other response is told. */
+  close(cause: callerclosures.ClosureCause, status?: number): void {
+    const {socket} = this;
+    if (socket.destroyed) return;
+    if (this.isClosing) return void socket.destroy();
+    const isTold =
+      status !== undefined && this.stage === 'reading' && socket.writable;
+    this.isClosing = true;
+    this.options.onClosure(cause);
+    this.gate.discard();
+    if (!isTold) return void socket.destroy();
+    const reason = STATUS_LINES[status] ?? STATUS_LINES[400];
+    socket.end(
+      `HTTP/1.1 ${reason}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n`,
+    );
+    this.holding.setStage('refused');
+    // Closing a connection while its caller still sends may discard the response.
+    socket.once('end', () => socket.destroy());
+    setTimeout(() => socket.destroy(), CLOSE_TIMEOUT_MS);
+  }
+
+  private onParsed(slice: Buffer, chunks: number): void {
+    this.readMs = this.options.watchedMs();
+    this.holding.markProgress();
+    const {reading} = this;
+    this.holding.setStage(this.stage ?? 'running');
+    if (reading?.request.complete) {
+      this.reading = undefined;
+      this.framingBytes = 0;
+    } else if (reading) {
+      this.onBody(reading, slice.length, chunks);
+    } else if (!this.isClosing) {
+      this.onHead(slice);
+    }
+  }
+
+  private onBody({holding}: Reading, bytes: number, chunks: number): void {
+    if (chunks > 0) {
+      this.framingBytes = 0;
+      holding.markProgress();
+      return;
+    }
+    this.framingBytes += bytes;
+    if (this.framingBytes > MAX_FRAMING_BYTES) this.close('endless-framing');
+  }
+
+  private onHead(slice: Buffer): void {
+    const {maxHeaderBytes = Infinity} = this.options.limits() ?? {};
+    if (this.headBytes === 0 && this.isUsed) this.headStartMs = this.readMs;
+    let lines = 0;
+    for (const byte of slice) if (byte === LINE_END) lines++;
+    this.setHead(this.headBytes + slice.length, this.headLines + lines);
+    if (this.headBytes > maxHeaderBytes) this.close('head-too-large', 431);
+  }
+
+  private setHead(bytes: number, lines: number): void {
+    this.headBytes = bytes;
+    this.headLines = lines;
+    this.holding.setPart('head', bytes + lines * LINE_BYTES, 'heads');
+  }
+}
+
+/** How long a caller that was told why its connection closes may go on sending. */
+const CLOSE_TIMEOUT_MS = 500;
+
+const STATUS_LINES: Readonly<Record<number, string>> = {
+  400: '400 Bad Request',
+  408: '408 Request Timeout',
+  413: '413 Payload Too Large',
+  431: '431 Request Header Fields Too Large',
+};
+
+/** The least bytes that the head of a request had; spaces and tabs around values are not known. */
+function wireBytesOf({method, url, rawHeaders}: http.IncomingMessage): number {
+  let bytes = REQUEST_LINE_BYTES + (method ?? '').length + (url ?? '').length;
+  for (const text of rawHeaders) bytes += text.length;
+  return bytes + (rawHeaders.length / 2) * SEPARATOR_BYTES;
+}
--- a/packages/gateway/src/callerconnections.ts
+++ b/packages/gateway/src/callerconnections.ts
@@ -1,52 +1,102 @@
 import type * as http from 'node:http';
 import * as net from 'node:net';
 
-/** How far a request has come. */
-export type RequestStage = 'reading' | 'dispatching' | 'answering';
-
-/** A request whose answer has not been flushed to its connection. */
-export interface OpenRequest {
-  readonly id: string;
-  /** On the monotonic clock. */
-  readonly arrivedMs: number;
-  stage: RequestStage;
-}
+import * as decisions from '@banyanhall/decisions';
+import type * as forwarding from '@banyanhall/forwarding';
+import type * as routing from '@banyanhall/routing';
+
+import type * as callerbounds from './callerbounds.js';
+import * as callerclosures from './callerclosures.js';
+import * as callerconnection from './callerconnection.js';
+import * as callergate from './callergate.js';
+
+/** The interval of the checks for connections without progress. */
+const CHECK_INTERVAL_MS = 250;
+/** The most time that counts as watched between two checks; what is beyond it was missed. */
+const MAX_WATCHED_MS = 2 * CHECK_INTERVAL_MS;
+/** Connections beyond the bound that are accepted before one is closed for them. */
+const ACCEPT_SLACK = 16;
+
+/** The statuses of requests that can't be parsed; 400 for others. */
+const STATUS_BY_ERROR: Readonly<Record<string, number>> = {
+  HPE_HEADER_OVERFLOW: 431,
+  HPE_CHUNK_EXTENSIONS_OVERFLOW: 413,
+};
+const CAUSE_BY_STATUS: Readonly<Record<number, callerclosures.ClosureCause>> = {
+  431: 'head-too-large',
+  413: 'endless-framing',
+};
 
-/** The state of an open connection. */
-interface Connection {
-  readonly requests: Set<OpenRequest>;
-  /** The bytes read when its last response was flushed; more of them are the start of a request. */
-  idleBytes: number;
+/** Dependencies of `CallerConnections`. */
+export interface CallerConnectionsOptions {
+  readonly server: http.Server;
+  readonly clock: decisions.clock.Clock;
+  readonly account: forwarding.buffers.BufferAccount;
+  readonly bounds: callerbounds.CallerBounds;
+  readonly closures: callerclosures.CallerClosures;
+  /** Undefined before the first configuration. */
+  readonly limits: () => routing.configuration.CallerLimits | undefined;
+  /** While the host stops, the end of its grace period limits heads and bodies. */
+  readonly isStopping: () => boolean;
 }
 
 /** The open connections of callers, with the requests on them that are not answered yet. */
 export class CallerConnections {
-  private readonly open = new Map<net.Socket, Connection>();
+  private readonly open = new Map<
+    net.Socket,
+    callerconnection.CallerConnection
+  >();
+  private readonly turns = new callergate.Turns();
+  private watchedMs = 0;
+  private checkedMs: number;
+  private readonly timer: NodeJS.Timeout;
 
-  constructor(private readonly server: http.Server) {
-    server.on('connection', (socket: net.Socket) => {
-      this.open.set(socket, {requests: new Set(), idleBytes: 0});
-      socket.once('close', () => this.open.delete(socket));
-    });
+  constructor(private readonly options: CallerConnectionsOptions) {
+    const {server, clock, bounds, closures} = options;
+    this.checkedMs = clock.monotonicMs();
+    if (Number.isFinite(bounds.connections)) {
+      server.maxConnections = bounds.connections + ACCEPT_SLACK;
+    }
+    server.on('connection', (socket: net.Socket) => this.onConnection(socket));
+    server.on('drop', () => closures.count('too-many-connections'));
+    server.on('clientError', (error: NodeJS.ErrnoException, socket) =>
+      this.onClientError(error, socket as net.Socket),
+    );
+    this.timer = setInterval(() => this.check(), CHECK_INTERVAL_MS);
+    this.timer.unref();
   }
 
-  /** Tracks a request until the last byte of its response has been flushed or its connection has closed. */
-  track(
+  /** Begins to read a request; undefined if its connection has closed. */
+  begin(
     request: http.IncomingMessage,
     response: http.ServerResponse,
     id: string,
     arrivedMs: number,
-  ): OpenRequest {
-    const tracked: OpenRequest = {id, arrivedMs, stage: 'reading'};
-    const {socket} = request;
-    const connection = this.open.get(socket);
-    connection?.requests.add(tracked);
-    response.once('close', () => {
-      if (!connection) return;
-      connection.requests.delete(tracked);
-      connection.idleBytes = socket.bytesRead;
-    });
-    return tracked;
+  ): callerconnection.IncomingRequest | undefined {
+    const connection = this.open.get(request.socket);
+    return connection?.begin(request, response, id, arrivedMs);
+  }
+
+  /** Marks that the body of a request was read. */
+  onRead(
+    request: http.IncomingMessage,
+    incoming: callerconnection.IncomingRequest,
+  ): void {
+    this.open.get(request.socket)?.onRead(incoming);
+  }
+
+  /** Marks that a request is refused before it was read. */
+  onRefused(
+    request: http.IncomingMessage,
+    incoming: callerconnection.IncomingRequest,
+    cause: callerclosures.ClosureCause,
+  ): void {
+    this.open.get(request.socket)?.onRefused(incoming, cause);
+  }
+
+  /** The number of open connections. */
+  get count(): number {
+    return this.open.size;
   }
 
   /** True when no connection is open. */
@@ -55,27 +105,75 @@
   }
 
   /** The requests that are not answered yet. */
-  get requests(): readonly OpenRequest[] {
+  get requests(): readonly callerconnection.OpenRequest[] {
     return [...this.open.values()].flatMap(({requests}) => [...requests]);
   }
 
   /** Accepts no more connections, and keeps the open ones. */
   stopListening(): void {
     // `http.Server.close` also closes connections whose last response is not flushed yet.
-    net.Server.prototype.close.call(this.server);
+    net.Server.prototype.close.call(this.options.server);
   }
 
   /** Closes the connections without a response in progress on which no further request has begun to arrive. */
   closeIdle(): void {
-    for (const [socket, {requests, idleBytes}] of this.open) {
-      if (requests.size === 0 && socket.bytesRead === idleBytes) {
-        socket.destroy();
-      }
+    for (const [socket, connection] of this.open) {
+      if (connection.isIdle) socket.destroy();
     }
   }
 
   /** Closes all connections. */
   closeAll(): void {
+    clearInterval(this.timer);
     for (const socket of this.open.keys()) socket.destroy();
   }
+
+  private onConnection(socket: net.Socket): void {
+    const {account, limits, closures, bounds} = this.options;
+    const connection = new callerconnection.CallerConnection(socket, {
+      ...{account, limits, turns: this.turns},
+      watchedMs: () => this.watchedMs,
+      onClosure: cause => closures.count(cause),
+    });
+    if (socket.destroyed) return;
+    this.open.set(socket, connection);
+    socket.once('close', () => this.open.delete(socket));
+    if (this.open.size > bounds.connections) this.closeFirst(connection);
+  }
+
+  /** Closes a connection that is being read without progress, or else the newest. */
+  private closeFirst(newest: callerconnection.CallerConnection): void {
+    const candidates = [...this.open.values()].flatMap(connection => {
+      const {stage, socket, quietMs} = connection;
+      if (stage === undefined || socket.destroyed) return [];
+      const progressMs = this.watchedMs - quietMs;
+      return [{connection, stage, progressMs, bytes: 0}];
+    });
+    const first = decisions.closingorder.firstToEnd(candidates, this.watchedMs);
+    const isStalled =
+      first &&
+      (first.stage === 'refused' ||
+        decisions.closingorder.isStalled(first, this.watchedMs));
+    const {connection} = isStalled ? first : {connection: newest};
+    connection.close('too-many-connections');
+  }
+
+  private check(): void {
+    const nowMs = this.options.clock.monotonicMs();
+    this.watchedMs += Math.min(nowMs - this.checkedMs, MAX_WATCHED_MS);
+    this.checkedMs = nowMs;
+    if (this.options.isStopping()) return;
+    for (const connection of this.open.values()) {
+      connection.check(CHECK_INTERVAL_MS);
+    }
+  }
+
+  private onClientError(error: NodeJS.ErrnoException, socket: net.Socket) {
+    const connection = this.open.get(socket);
+    const isParserError = error.code?.startsWith('HPE_') ?? false;
+    if (!connection || !isParserError) return void socket.destroy(error);
+    const status = STATUS_BY_ERROR[error.code ?? ''] ?? 400;
+    const cause = CAUSE_BY_STATUS[status] ?? 'invalid-request';
+    connection.close(cause, status);
+  }
 }
--- a/packages/gateway/src/callerresponse.ts
+++ b/packages/gateway/src/callerresponse.ts
@@ -7,6 +7,9 @@
 /** The characters that Node.js sends in a status line. */
 const REASON_PATTERN = /^[\t\x20-\x7e\x80-\xff]*$/;
 
+/** Rejections of what is over a limit close the connection. */
+const CLOSING_STATUSES: ReadonlySet<number> = new Set([408, 413, 431]);
+
 /** How long the rest of a rejected request's body is awaited. */
 const UNREAD_TIMEOUT_MS = 2000;
 
@@ -106,7 +109,9 @@
       headers.push('Retry-After', (retryAfterMs / 1000).toFixed(3));
     }
     const {req: request} = this.response;
-    if (!request.complete) this.response.shouldKeepAlive = false;
+    if (!request.complete || CLOSING_STATUSES.has(status)) {
+      this.response.shouldKeepAlive = false;
+    }
     this.writeHead(status, headers);
     this.response.write(body);
     if (request.complete) return void this.response.end();
--- a/packages/gateway/src/host.ts
+++ b/packages/gateway/src/host.ts
@@ -24,7 +24,11 @@
 import * as allowancesModule from './allowances.js';
 import * as badinputs from './badinputs.js';
 import * as fleetlimits from './fleetlimits.js';
+import * as callerbounds from './callerbounds.js';
+import * as callerclosures from './callerclosures.js';
+import type * as callerconnection from './callerconnection.js';
 import * as callerconnections from './callerconnections.js';
+import * as callerrequests from './callerrequests.js';
 import * as callerresponses from './callerresponse.js';
 import * as dispatchers from './dispatcher.js';
 import * as directories from './directory.js';
@@ -33,6 +37,7 @@
 import * as looplag from './looplag.js';
 import * as metricsModule from './metrics.js';
 import * as requests from './request.js';
+import type * as requestbody from './requestbody.js';
 import * as rollouts from './rollouts.js';
 import * as shutdowns from './shutdown.js';
 import * as suspectrejections from './suspectrejections.js';
@@ -42,9 +47,6 @@
 const ADDRESS_TTL_MS = 1000;
 /** Some callers use an address response for this multiple of its TTL. */
 const ADDRESS_TTL_FACTOR = 3;
-const MAX_HEADER_BYTES = 65_536;
-/** The keep-alive timeout until a configuration is known. */
-const DEFAULT_KEEP_ALIVE_MS = 15_000;
 /** At this event loop lag a host rejects new requests, since it could only answer them late. */
 const MAX_LOOP_LAG_MS = 400;
 /** The retry-after time of requests rejected for lag; callers may retry on another host. */
@@ -76,6 +78,8 @@
   readonly serverHeartbeatMs: number;
   /** The most bytes that the host buffers for requests. */
   readonly bufferLimitBytes: number;
+  /** What it may hold for callers besides; without bounds by default. */
+  readonly callerBounds?: callerbounds.CallerBounds;
   /** The CPU quota of the host in cores; 0 when unknown. */
   readonly cores: number;
   readonly fleetLimits: fleetlimits.FleetLimitSettings;
@@ -300,7 +304,10 @@
       onRewritten: key => this.onRewritten('rollout', key),
     });
     const {bufferLimitBytes} = settings;
-    this.buffers = new forwarding.buffers.BufferAccount(bufferLimitBytes);
+    const {callerBounds: bounds = callerbounds.UNBOUNDED} = settings;
+    this.buffers = new forwarding.buffers.BufferAccount(
+      ...([bufferLimitBytes, bounds] as const),
+    );
     this.tunnels = new tunnelsModule.Tunnels({
       ...{host, zone, clock, random, links: this.links, serving, directory},
       buffers: this.buffers,
@@ -328,7 +335,7 @@
     });
     router.connect(this.handlers());
     this.ingress = http.createServer(
-      {maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: 0, noDelay: true},
+      callerrequests.SERVER_OPTIONS,
       (request, response) => {
         this.onRequest(request, response).catch(error => {
           this.logError('', error);
@@ -336,8 +343,12 @@
         });
       },
     );
-    this.ingress.keepAliveTimeout = DEFAULT_KEEP_ALIVE_MS;
-    this.callers = new callerconnections.CallerConnections(this.ingress);
+    this.callers = new callerconnections.CallerConnections({
+      ...{server: this.ingress, clock, account: this.buffers, bounds},
+      closures: new callerclosures.CallerClosures(log, metrics),
+      limits: () => directory.configuration?.limits,
+      isStopping: () => shutdown.hasBegun,
+    });
     this.metricsServer = listeners.createServer((target, response) => {
       if (target !== settings.metricsPath)
         return listeners.respond(response, 404, '');
@@ -376,6 +387,10 @@
     const lookup = listeners.createServer((target, response) =>
       this.respondWithAddresses(target, response),
     );
+    const {lookupConnections} = settings.callerBounds ?? callerbounds.UNBOUNDED;
+    if (Number.isFinite(lookupConnections)) {
+      lookup.maxConnections = lookupConnections;
+    }
     this.neededServers.push(this.ingress, readiness, lookup);
     const {metricsAddress} = settings;
     void this.listen(this.metricsServer, metricsAddress, Infinity);
@@ -412,7 +427,7 @@
     if (!this.directory.onConfiguration(next, from)) return;
     this.configurationText = text;
     this.configurationSource = from;
-    this.ingress.keepAliveTimeout = next.limits.idleTimeoutMs;
+    callerrequests.applyLimits(this.ingress, next.limits);
     this.logReady();
   }
 
@@ -479,7 +494,7 @@
   }
 
   /** Logs the requests whose connections this host closes at the end of its grace period. */
-  private logCut(unanswered: readonly callerconnections.OpenRequest[]): void {
+  private logCut(unanswered: readonly callerconnection.OpenRequest[]): void {
     const {log, metrics} = this.options;
     for (const {id, stage, arrivedMs} of unanswered) {
       const ageMs = Math.round(this.clock.monotonicMs() - arrivedMs);
@@ -572,28 +587,37 @@
       id,
       () => this.shutdown.hasBegun,
     );
-    const tracked = this.callers.track(request, response, id, arrivedMs);
-    const holding = this.buffers.open();
-    response.once('close', () => holding.release());
+    const incoming = this.callers.begin(request, response, id, arrivedMs);
+    if (!incoming) return;
+    const {tracked, holding} = incoming;
     let route = '';
     let result: dispatchers.DispatchResult;
+    let isUnread = false;
     try {
-      const body = await this.readBody(request, holding);
+      const body = await this.readBody(incoming);
       if (caller.isDisconnected || body === undefined) {
         log.event('caller-left', id, {stage: 'reading'});
         return;
       }
-      tracked.stage = 'dispatching';
-      const checked =
-        typeof body === 'string'
-          ? UNREAD_REJECTIONS[body]()
-          : (this.rejectionForLag() ??
-            this.check(toReceivedRequest(request, id, body, arrivedMs, names)));
-      if (checked.kind === 'accepted') {
-        route = checked.route.name;
-        result = await this.chargeAndDispatch(checked, caller, holding);
+      if (typeof body === 'string') {
+        isUnread = body !== 'cut';
+        if (body !== 'cut') this.callers.onRefused(request, incoming, body);
+        result = callerrequests.UNREAD_REJECTIONS[body]();
       } else {
-        result = checked;
+        this.callers.onRead(request, incoming);
+        const checked =
+          this.rejectionForLag() ??
+          this.check(
+            callerrequests.toReceivedRequest(
+              ...([request, id, body, arrivedMs, names] as const),
+            ),
+          );
+        if (checked.kind === 'accepted') {
+          route = checked.route.name;
+          result = await this.chargeAndDispatch(checked, caller, holding);
+        } else {
+          result = checked;
+        }
       }
     } catch (error) {
       this.logError(id, error);
@@ -606,14 +630,16 @@
     }
     tracked.stage = 'answering';
     try {
-      finishResponse(caller, result);
+      callerrequests.finishResponse(caller, result);
     } catch (error) {
       this.logError(id, error);
       caller.abort();
     }
     const outcome = result.kind === 'rejection' ? result.reason : result.kind;
     metrics.requests.inc({route, outcome});
-    log.event(EVENT_BY_RESULT[result.kind], id, {
+    // Refusals of this kind are logged together, at most once a second.
+    if (isUnread) return;
+    log.event(callerrequests.EVENT_BY_RESULT[result.kind], id, {
       route,
       ...result,
       kind: undefined,
@@ -629,17 +655,18 @@
   }
 
   /** Reads the body of a request; undefined when the caller disconnected first. */
-  private async readBody(
-    request: http.IncomingMessage,
-    holding: forwarding.buffers.Holding,
-  ): Promise<Buffer | undefined | UnreadReason> {
+  private async readBody({
+    body,
+  }: callerconnection.IncomingRequest): Promise<
+    Buffer | undefined | requestbody.UnreadReason
+  > {
     const {shutdown} = this;
     const cut = new AbortController();
+    cut.signal.addEventListener('abort', () => body.end('cut'));
     const release = shutdown.abortWhen(cut, () => shutdown.mustCut);
-    const body = await listeners.readBody(request, cut.signal, holding);
+    const result = await body.result;
     release();
-    if (holding.signal.aborted) return 'no-room';
-    return cut.signal.aborted ? 'cut' : body;
+    return result;
   }
 
   /**
@@ -807,7 +834,7 @@
   }
 
   private async metricsText(): Promise<string> {
-    const {metrics} = this.options;
+    const {metrics, settings} = this.options;
     const inFlight = this.callers.requests.length;
     metrics.setGauge('in_flight', 'Requests in flight.', inFlight);
     const version = this.directory.configuration?.version ?? 0;
@@ -827,13 +854,10 @@
     const ageHelp = 'Age of the oldest answer of the store in use, in seconds.';
     const ageS = this.feedRelay.oldestAnswerAgeMs / 1000;
     metrics.setGauge('store_answer_age_seconds', ageHelp, ageS);
-    const {heldBytes, limitBytes, ended} = this.buffers;
-    const heldHelp = 'Bytes buffered for requests.';
-    metrics.setGauge('buffered_bytes', heldHelp, heldBytes);
-    const limitHelp = 'Most bytes that are buffered for requests.';
-    metrics.setGauge('buffered_bytes_limit', limitHelp, limitBytes);
-    const endedHelp = 'Requests ended for room in the buffers since the start.';
-    metrics.setGauge('requests_without_room', endedHelp, ended);
+    const callerBounds = settings.callerBounds ?? callerbounds.UNBOUNDED;
+    callerrequests.reportHeld(
+      ...([metrics, this.buffers, this.callers, callerBounds] as const),
+    );
     const refused = this.crashes.refusedParts.length;
     metrics.setGauge('refused_parts', 'Prompt parts refused.', refused);
     const {lowestTokens} = this.allowances;
@@ -876,22 +900,6 @@
   }
 }
 
-/** Why the body of a request was not read to its end: the grace period has, or the host has no room. */
-type UnreadReason = 'cut' | 'no-room';
-
-const UNREAD_REJECTIONS: Readonly<
-  Record<UnreadReason, () => requests.Rejection>
-> = {
-  cut: () => shutdowns.rejection('body not complete'),
-  'no-room': () =>
-    requests.rejection(
-      503,
-      dispatchers.NO_ROOM,
-      dispatchers.NO_ROOM_RETRY_AFTER_MS,
-      'body not complete',
-    ),
-};
-
 /** The log events written for the timeline's events; others are not logged. */
 const TIMELINE_EVENTS: Readonly<
   Partial<Record<timelines.EventKind, logs.LogEvent>>
@@ -911,48 +919,6 @@
   return before === undefined ? 'stated' : 'changed';
 }
 
-const EVENT_BY_RESULT: Readonly<
-  Record<dispatchers.DispatchResult['kind'], logs.LogEvent>
-> = {
-  answered: 'answered',
-  'broken-off': 'broken',
-  'caller-left': 'caller-left',
-  rejection: 'refused',
-};
-
-/** Sends what the caller is still to get: a rejection, or the end of its connection where part of a response was sent. */
-function finishResponse(
-  caller: callerresponses.CallerResponse,
-  result: dispatchers.DispatchResult,
-): void {
-  if (result.kind === 'rejection' && !caller.isStarted) {
-    caller.sendRejection(result);
-  } else if (result.kind === 'rejection' || result.kind === 'broken-off') {
-    caller.abort();
-  }
-}
-
-function toReceivedRequest(
-  request: http.IncomingMessage,
-  id: string,
-  body: Buffer,
-  arrivedMs: number,
-  names: forwarding.headers.HeaderNames,
-): requests.ReceivedRequest {
-  const timeoutMs = Number(
-    forwarding.headers.value(request.headers, names.remainingMs),
-  );
-  return {
-    ...{id, body, arrivedMs},
-    method: request.method ?? 'GET',
-    target: request.url ?? '/',
-    authority: request.headers.host ?? '',
-    headers: request.headers,
-    rawHeaders: request.rawHeaders,
-    callerTimeoutMs: timeoutMs > 0 ? timeoutMs : undefined,
-  };
-}
-
 function fingerprintOf(text: string, body: Buffer): string {
   return crypto.createHash('sha1').update(text).update(body).digest('base64');
 }
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,3 +1,4 @@
+export * as callerbounds from './callerbounds.js';
 export * as badinputs from './badinputs.js';
 export * as fleetlimits from './fleetlimits.js';
 export * as dispatcher from './dispatcher.js';
--- a/packages/gateway/src/listeners.ts
+++ b/packages/gateway/src/listeners.ts
@@ -4,8 +4,6 @@
 import * as http from 'node:http';
 import * as timers from 'node:timers/promises';
 
-import type * as forwarding from '@banyanhall/forwarding';
-
 /** The maximum number of connections that wait to be accepted. */
 const BACKLOG = 4096;
 /** The pause between two tries to start a listener. */
@@ -75,31 +73,3 @@
   });
   response.end(body);
 }
-
-/** Reads the whole body of a request; undefined when the caller disconnected or a signal was aborted first. */
-export function readBody(
-  request: http.IncomingMessage,
-  signal: AbortSignal,
-  holding: forwarding.buffers.Holding,
-): Promise<Buffer | undefined> {
-  return new Promise(resolve => {
-    const chunks: Buffer[] = [];
-    const onData = (chunk: Buffer) => {
-      chunks.push(chunk);
-      holding.addChunk(chunk.length, request);
-    };
-    const stop = () => {
-      // The rest is read and discarded.
-      request.removeListener('data', onData);
-      chunks.splice(0);
-      request.resume();
-      resolve(undefined);
-    };
-    request.on('data', onData);
-    request.on('end', () => resolve(Buffer.concat(chunks)));
-    request.on('error', () => resolve(undefined));
-    request.on('close', () => resolve(undefined));
-    signal.addEventListener('abort', stop, {once: true});
-    holding.signal.addEventListener('abort', stop, {once: true});
-  });
-}
--- a/packages/gateway/src/logs.ts
+++ b/packages/gateway/src/logs.ts
@@ -33,6 +33,7 @@
   | 'cut'
   | 'failed'
   | 'caller-left'
+  | 'caller-closed'
   | 'suspect'
   | 'suppressed'
   | 'error';
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -71,6 +71,17 @@
     'Starts of backend servers that stated that they leave.',
     [],
   );
+  readonly callerClosures = this.counter(
+    'banyanhall_caller_closures_total',
+    'Connections closed, or requests refused before they were read, by cause.',
+    ['cause'],
+  );
+  readonly heldBytes = new prom.Gauge({
+    name: 'banyanhall_held_bytes',
+    help: 'Bytes held for callers and requests, by class.',
+    labelNames: ['class'],
+    registers: [this.registry],
+  });
   private readonly gauges = new Map<string, prom.Gauge>();
 
   /** Sets the gauge `banyanhall_<name>`, creating it with the text `help` on first use. */
