Bounds for look-ups, readiness and metrics, and tests of the account

Connections beyond a bound close the one that is read most slowly, so that new callers are served beside those that send a byte now and then. Heads are measured to the byte near the limit; trailers and chunk extensions are counted.

--- a/packages/decisions/src/closingorder.ts
+++ b/packages/decisions/src/closingorder.ts
@@ -59,3 +59,44 @@
   const isLonger = rankA === STALLED_RANK && a.progressMs !== b.progressMs;
   return isLonger ? a.progressMs < b.progressMs : a.bytes > b.bytes;
 }
+
+/** A connection that may be closed for another one. */
+export interface ConnectionCandidate {
+  readonly stage: Stage;
+  /** When its caller last sent something, on the clock of `nowMs`. */
+  readonly progressMs: number;
+  /** When the request that is being read began. */
+  readonly startMs: number;
+  /** What was read of that request. */
+  readonly readBytes: number;
+}
+
+/**
+ * The connections that may be closed for new ones, in this order: refused ones,
+ * the longest stalled, then those whose request is read most slowly. None whose
+ * request runs, and no idle one.
+ */
+export function connectionsToClose<C extends ConnectionCandidate>(
+  candidates: Iterable<C>,
+  nowMs: number,
+): readonly C[] {
+  return [...candidates]
+    .filter(({stage}) => stage === 'refused' || stage === 'reading')
+    .map(candidate => ({
+      candidate,
+      rank: rankOf({...candidate, bytes: 0}, nowMs),
+      rate: rateOf(candidate, nowMs),
+    }))
+    .sort((a, b) => {
+      if (a.rank !== b.rank) return a.rank - b.rank;
+      return a.rank === STALLED_RANK
+        ? a.candidate.progressMs - b.candidate.progressMs
+        : a.rate - b.rate;
+    })
+    .map(({candidate}) => candidate);
+}
+
+/** Bytes a millisecond. */
+function rateOf({startMs, readBytes}: ConnectionCandidate, nowMs: number) {
+  return readBytes / Math.max(1, nowMs - startMs);
+}
--- a/packages/forwarding/src/buffers.test.ts
+++ b/packages/forwarding/src/buffers.test.ts
@@ -72,3 +72,42 @@
     assert.ok(!holding.signal.aborted);
   }
 });
+
+// Guards against heads or a sum of classes that have no bound of their own.
+test.test('heads and the sum have bounds of their own', () => {
+  const limits = {headBytes: 20_000, sumBytes: 110_000};
+  const account = new buffers.BufferAccount(LIMIT_BYTES, limits);
+  const heads = [15_000, 4000, 3000].map(bytes => {
+    const holding = account.open({stage: 'reading'});
+    holding.setPart('head', bytes, 'heads');
+    return holding;
+  });
+  const body = openWith(account, 99_000);
+  body.setPart('own', 16_000, 'connections');
+  assert.deepEqual(
+    [...heads, body].map(({signal}) => signal.aborted),
+    [true, false, false, true],
+  );
+});
+
+// Guards against refused requests whose memory is no longer counted although their callers go on sending.
+test.test(
+  'an ended request counts until it is released, and is closed for room',
+  () => {
+    const limits = {headBytes: 20_000, sumBytes: 30_000};
+    const account = new buffers.BufferAccount(LIMIT_BYTES, limits);
+    const closed: number[] = [];
+    const holdings = Array.from({length: 6}, (_, i) => {
+      const close = () => {
+        closed.push(i);
+        holdings[i].release();
+      };
+      return account.open({stage: 'reading', close});
+    });
+    for (const holding of holdings) holding.setPart('head', 9000, 'heads');
+    assert.deepEqual(closed, [2, 3]);
+    assert.ok(account.endingBytes + account.heldByClass.heads <= 36_000);
+    for (const holding of holdings) holding.release();
+    assert.equal(account.endingBytes, 0);
+  },
+);
--- a/packages/forwarding/src/buffers.ts
+++ b/packages/forwarding/src/buffers.ts
@@ -141,6 +141,11 @@
 
   /** Counts a change of an open holding, and ends others or itself for room. */
   change(holding: OpenHolding, heldClass: HeldClass, bytes: number): void {
+    if (this.ending.has(holding)) {
+      holding.held[heldClass] += bytes;
+      this.endingSumBytes += bytes;
+      return;
+    }
     if (!this.holdings.has(holding)) return;
     holding.held[heldClass] += bytes;
     this.sums[heldClass] += bytes;
@@ -165,11 +170,15 @@
       for (const each of classes) bytes += this.sums[each];
       return bytes > limitBytes;
     };
-    if (this.ending.size > 0 && isOver(this.endingSumBytes)) {
-      for (const holding of [...this.ending]) holding.closeConnection();
-    }
     while (isOver(0)) {
-      if (!this.endFirst(classes)) return;
+      if (!this.endFirst(classes)) break;
+    }
+    if (classes !== HELD_CLASSES) return;
+    let endingBytes = this.endingSumBytes;
+    for (const holding of [...this.ending]) {
+      if (!isOver(endingBytes)) break;
+      const bytes = bytesOf(holding, HELD_CLASSES);
+      if (holding.closeConnection()) endingBytes -= bytes;
     }
   }
 
@@ -284,7 +293,10 @@
     this.controller.abort(NO_ROOM_REASON);
   }
 
-  closeConnection(): void {
+  /** Closes the connection of a request that has not been sent; one that may run is still to be answered. */
+  closeConnection(): boolean {
+    if (this.stage !== 'reading' && this.stage !== 'refused') return false;
     this.options.close?.();
+    return true;
   }
 }
--- a/packages/gateway/src/callerbounds.ts
+++ b/packages/gateway/src/callerbounds.ts
@@ -5,10 +5,10 @@
 
 /** The descriptors of `limits.max-fds` that are for files. */
 const FILE_DESCRIPTORS = 200;
-/** The share of the others that is kept for hosts, backend servers and the store. */
-const RESERVED_SHARE = 0.3;
-/** The same for connections that query addresses. */
-const LOOKUP_SHARE = 0.1;
+/** The shares of the others by listener; what is left is for hosts, backend servers and the store. */
+const DESCRIPTOR_SHARES = {callers: 0.5, lookups: 0.05, checks: 0.025};
+/** The least connections of a listener. */
+const MIN_CONNECTIONS = 24;
 /** What an open connection costs; 10 to 23 KB were measured as resident memory, the higher value for the first ones. */
 export const CONNECTION_BYTES = 16_384;
 /** The share of the memory that connections may take by themselves. */
@@ -24,6 +24,8 @@
   readonly connections: number;
   /** The most connections that query addresses. */
   readonly lookupConnections: number;
+  /** The most connections that ask whether this host is ready, and the most that read its metrics. */
+  readonly checkConnections: number;
   readonly headBytes: number;
   readonly sumBytes: number;
 }
@@ -32,6 +34,7 @@
 export const UNBOUNDED: CallerBounds = {
   connections: Infinity,
   lookupConnections: Infinity,
+  checkConnections: Infinity,
   headBytes: Infinity,
   sumBytes: Infinity,
 };
@@ -42,11 +45,14 @@
   maxDescriptors: number,
 ): CallerBounds {
   const usable = Math.max(0, maxDescriptors - FILE_DESCRIPTORS);
-  const byDescriptors = usable * (1 - RESERVED_SHARE - LOOKUP_SHARE);
+  const shareOf = (share: number) =>
+    Math.max(MIN_CONNECTIONS, Math.floor(usable * share));
   const byMemory = (memoryBytes * CONNECTION_SHARE) / CONNECTION_BYTES;
+  const {callers, lookups, checks} = DESCRIPTOR_SHARES;
   return {
-    connections: Math.max(1, Math.floor(Math.min(byDescriptors, byMemory))),
-    lookupConnections: Math.max(1, Math.floor(usable * LOOKUP_SHARE)),
+    connections: Math.floor(Math.min(shareOf(callers), byMemory)),
+    lookupConnections: shareOf(lookups),
+    checkConnections: shareOf(checks),
     headBytes: memoryBytes * HEAD_SHARE,
     sumBytes: memoryBytes * SUM_SHARE,
   };
--- a/packages/gateway/src/callerconnection.ts
+++ b/packages/gateway/src/callerconnection.ts
@@ -23,9 +23,14 @@
 const SEPARATOR_BYTES = ':\r\n'.length;
 /** The most requests of a connection that are handled at once; further ones are read later. */
 const MAX_PIPELINED = 16;
-/** The most bytes of a body in a row that hold no content: an extension of a chunk, a trailer or a chunk's length may be as long as a head. */
-const MAX_FRAMING_BYTES = 65_536;
+/** The most bytes of a body in a row without content, besides those of trailers, which may have the size of a head; the parser takes as many bytes of chunk extensions. */
+const MAX_EXTENSION_BYTES = 16_384;
 const LINE_END = 0x0a;
+const CARRIAGE_RETURN = 0x0d;
+const HEAD_END = '\r\n\r\n';
+/** The most bytes of the end of a head that may have come before the others. */
+const TAIL_BYTES = HEAD_END.length - 1;
+const NO_BYTES = Buffer.alloc(0);
 
 /** How far a request has come. */
 export type RequestStage = 'reading' | 'dispatching' | 'answering';
@@ -73,8 +78,11 @@
   private reading: Reading | undefined;
   private headBytes = 0;
   private headLines = 0;
+  /** The last bytes of the head that is awaited. */
+  private headTail: Buffer = NO_BYTES;
   /** The bytes of the body since its last content. */
   private framingBytes = 0;
+  private framingLines = 0;
   private isUsed = false;
   private isRefused = false;
   private isClosing = false;
@@ -121,18 +129,19 @@
     const tracked: OpenRequest = {id, arrivedMs, stage: 'reading'};
     this.requests.add(tracked);
     this.isUsed = true;
-    this.setHead(0, 0);
-    gate.countRequest();
     const holding = this.options.account.open({
       stage: 'reading',
       close: () => socket.destroy(),
     });
-    const wireBytes = wireBytesOf(request);
+    const {maxBodyBytes = Infinity, maxHeaderBytes = Infinity} =
+      this.options.limits() ?? {};
+    const wireBytes = this.headSize(request, maxHeaderBytes);
+    this.setHead(0, 0);
+    this.headTail = NO_BYTES;
+    gate.countRequest();
     const lineCount = request.rawHeaders.length / 2;
     const heldBytes = wireBytes + lineCount * LINE_BYTES + REQUEST_BYTES;
     holding.setPart('head', heldBytes, 'heads');
-    const {maxBodyBytes = Infinity, maxHeaderBytes = Infinity} =
-      this.options.limits() ?? {};
     const body = new requestbody.RequestBody(
       ...([{request, gate, holding, maxBytes: maxBodyBytes}] as const),
     );
@@ -182,9 +191,16 @@
     return isReading ? 'reading' : undefined;
   }
 
-  /** How long nothing was read on it, by the time in which this host looked. */
-  get quietMs(): number {
-    return this.gate.isHeld ? 0 : this.options.watchedMs() - this.readMs;
+  /** What decides whether it is closed for another one, by `watchedMs`; undefined for an idle one. */
+  get candidate(): decisions.closingorder.ConnectionCandidate | undefined {
+    const {stage, socket} = this;
+    if (stage === undefined || socket.destroyed) return undefined;
+    return {
+      stage,
+      progressMs: this.gate.isHeld ? this.options.watchedMs() : this.readMs,
+      startMs: this.headStartMs,
+      readBytes: socket.bytesRead - this.idleBytes,
+    };
   }
 
   /** Ends it if it makes no progress; `slackMs` is the interval of these checks. */
@@ -200,7 +216,8 @@
     const {reading} = this;
     if (reading && !reading.request.complete) {
       if (nowMs - this.readMs <= limits.idleTimeoutMs + slackMs) return;
-      reading.body.end('body-timeout');
+      if (reading.body.hasEnded) this.close('body-timeout');
+      else reading.body.end('body-timeout');
     } else if (
       this.requests.size === 0 &&
       (!this.isUsed || this.headBytes > 0) &&
@@ -231,6 +248,31 @@
     setTimeout(() => socket.destroy(), CLOSE_TIMEOUT_MS);
   }
 
+  /** The bytes of a head; fewer than it had, as blanks are not known, if that makes no difference or it came behind another request. */
+  private headSize(
+    request: http.IncomingMessage,
+    maxHeaderBytes: number,
+  ): number {
+    const leastBytes = wireBytesOf(request);
+    const slice = this.gate.firstSlice;
+    const mostBytes = this.headBytes + (slice?.length ?? 0);
+    if (!slice || leastBytes > maxHeaderBytes || mostBytes <= maxHeaderBytes) {
+      return leastBytes;
+    }
+    // Empty lines may precede a head.
+    let start = 0;
+    if (this.headBytes === 0) {
+      while (slice[start] === LINE_END || slice[start] === CARRIAGE_RETURN) {
+        start++;
+      }
+    }
+    const bytes = Buffer.concat([this.headTail, slice.subarray(start)]);
+    const end = bytes.indexOf(HEAD_END);
+    if (end < 0) return leastBytes;
+    const newBytes = end + HEAD_END.length - this.headTail.length;
+    return this.headBytes + newBytes;
+  }
+
   private onParsed(slice: Buffer, chunks: number): void {
     this.readMs = this.options.watchedMs();
     this.holding.markProgress();
@@ -239,29 +281,38 @@
     if (reading?.request.complete) {
       this.reading = undefined;
       this.framingBytes = 0;
+      this.framingLines = 0;
     } else if (reading) {
-      this.onBody(reading, slice.length, chunks);
+      this.onBody(reading, slice, chunks);
     } else if (!this.isClosing) {
       this.onHead(slice);
     }
   }
 
-  private onBody({holding}: Reading, bytes: number, chunks: number): void {
+  private onBody({holding}: Reading, slice: Buffer, chunks: number): void {
     if (chunks > 0) {
       this.framingBytes = 0;
+      this.framingLines = 0;
       holding.markProgress();
-      return;
+    } else {
+      const {maxHeaderBytes = Infinity} = this.options.limits() ?? {};
+      this.framingBytes += slice.length;
+      this.framingLines += linesOf(slice);
+      const isEndless =
+        this.framingBytes > maxHeaderBytes + MAX_EXTENSION_BYTES;
+      if (isEndless) this.close('endless-framing');
     }
-    this.framingBytes += bytes;
-    if (this.framingBytes > MAX_FRAMING_BYTES) this.close('endless-framing');
+    const bytes = this.framingBytes + this.framingLines * LINE_BYTES;
+    holding.setPart('framing', bytes, 'heads');
   }
 
   private onHead(slice: Buffer): void {
     const {maxHeaderBytes = Infinity} = this.options.limits() ?? {};
     if (this.headBytes === 0 && this.isUsed) this.headStartMs = this.readMs;
-    let lines = 0;
-    for (const byte of slice) if (byte === LINE_END) lines++;
-    this.setHead(this.headBytes + slice.length, this.headLines + lines);
+    const lines = this.headLines + linesOf(slice);
+    this.setHead(this.headBytes + slice.length, lines);
+    const tail = Buffer.concat([this.headTail, slice.subarray(-TAIL_BYTES)]);
+    this.headTail = tail.subarray(-TAIL_BYTES);
     if (this.headBytes > maxHeaderBytes) this.close('head-too-large', 431);
   }
 
@@ -282,6 +333,12 @@
   431: '431 Request Header Fields Too Large',
 };
 
+function linesOf(slice: Buffer): number {
+  let lines = 0;
+  for (const byte of slice) if (byte === LINE_END) lines++;
+  return lines;
+}
+
 /** The least bytes that the head of a request had; spaces and tabs around values are not known. */
 function wireBytesOf({method, url, rawHeaders}: http.IncomingMessage): number {
   let bytes = REQUEST_LINE_BYTES + (method ?? '').length + (url ?? '').length;
--- a/packages/gateway/src/callerconnections.ts
+++ b/packages/gateway/src/callerconnections.ts
@@ -14,8 +14,10 @@
 const CHECK_INTERVAL_MS = 250;
 /** The most time that counts as watched between two checks; what is beyond it was missed. */
 const MAX_WATCHED_MS = 2 * CHECK_INTERVAL_MS;
-/** Connections beyond the bound that are accepted before one is closed for them. */
-const ACCEPT_SLACK = 16;
+/** Connections beyond the bound that are accepted until others have closed for them. */
+const ACCEPT_SLACK = 32;
+/** The most connections that are put in order at once. */
+const MAX_ORDERED = 64;
 
 /** The statuses of requests that can't be parsed; 400 for others. */
 const STATUS_BY_ERROR: Readonly<Record<string, number>> = {
@@ -47,6 +49,7 @@
     callerconnection.CallerConnection
   >();
   private readonly turns = new callergate.Turns();
+  private order: callerconnection.CallerConnection[] = [];
   private watchedMs = 0;
   private checkedMs: number;
   private readonly timer: NodeJS.Timeout;
@@ -141,27 +144,34 @@
     if (this.open.size > bounds.connections) this.closeFirst(connection);
   }
 
-  /** Closes a connection that is being read without progress, or else the newest. */
+  /** Closes the connection that is read most slowly, or else the newest. */
   private closeFirst(newest: callerconnection.CallerConnection): void {
-    const candidates = [...this.open.values()].flatMap(connection => {
-      const {stage, socket, quietMs} = connection;
-      if (stage === undefined || socket.destroyed) return [];
-      const progressMs = this.watchedMs - quietMs;
-      return [{connection, stage, progressMs, bytes: 0}];
-    });
-    const first = decisions.closingorder.firstToEnd(candidates, this.watchedMs);
-    const isStalled =
-      first &&
-      (first.stage === 'refused' ||
-        decisions.closingorder.isStalled(first, this.watchedMs));
-    const {connection} = isStalled ? first : {connection: newest};
-    connection.close('too-many-connections');
+    // The order is kept until the next check, since it takes a look at each connection.
+    if (this.order.length === 0) {
+      const candidates = [...this.open.values()].flatMap(connection => {
+        const {candidate} = connection;
+        return candidate ? [{connection, ...candidate}] : [];
+      });
+      const ordered = decisions.closingorder.connectionsToClose(
+        ...([candidates, this.watchedMs] as const),
+      );
+      this.order = ordered
+        .slice(0, MAX_ORDERED)
+        .map(({connection}) => connection);
+    }
+    for (;;) {
+      const first = this.order.shift();
+      const stage = first ? first.candidate?.stage : 'reading';
+      if (stage !== 'refused' && stage !== 'reading') continue;
+      return (first ?? newest).close('too-many-connections');
+    }
   }
 
   private check(): void {
     const nowMs = this.options.clock.monotonicMs();
     this.watchedMs += Math.min(nowMs - this.checkedMs, MAX_WATCHED_MS);
     this.checkedMs = nowMs;
+    this.order = [];
     if (this.options.isStopping()) return;
     for (const connection of this.open.values()) {
       connection.check(CHECK_INTERVAL_MS);
--- a/packages/gateway/src/callergate.ts
+++ b/packages/gateway/src/callergate.ts
@@ -34,7 +34,7 @@
   private chunks = 0;
   private requests = 0;
   private isClosed = false;
-  private isParsing = false;
+  private parsed: Buffer | undefined;
   private isPaused = false;
 
   constructor(
@@ -58,6 +58,11 @@
     return this.holds.size > 0;
   }
 
+  /** The slice that is being parsed, unless another request began in it. */
+  get firstSlice(): Buffer | undefined {
+    return this.requests === 0 ? this.parsed : undefined;
+  }
+
   /** Counts a chunk of a body. */
   countChunk(): void {
     this.chunks++;
@@ -122,7 +127,7 @@
 
   /** Parses what waits, up to small chunks or a hold, and then reads on. */
   private readOn(): void {
-    if (this.isParsing) return;
+    if (this.parsed) return;
     while (this.waiting.length > 0 && !this.isHeld && !this.isClosed) {
       if (this.parseNext()) this.awaitTurn();
     }
@@ -144,9 +149,9 @@
   /** Parses a slice; true if it had small chunks. */
   private parse(slice: Buffer): boolean {
     if (this.socket.destroyed) return false;
-    this.isParsing = true;
+    this.parsed = slice;
     this.feed?.(slice);
-    this.isParsing = false;
+    this.parsed = undefined;
     const {chunks, requests} = this;
     this.chunks = 0;
     this.requests = 0;
--- a/packages/gateway/src/host.ts
+++ b/packages/gateway/src/host.ts
@@ -40,6 +40,7 @@
 import type * as requestbody from './requestbody.js';
 import * as rollouts from './rollouts.js';
 import * as shutdowns from './shutdown.js';
+import * as sidelisteners from './sidelisteners.js';
 import * as suspectrejections from './suspectrejections.js';
 import * as tunnelsModule from './tunnels.js';
 
@@ -153,6 +154,10 @@
   private readonly ingress: http.Server;
   private readonly buffers: forwarding.buffers.BufferAccount;
   private readonly callers: callerconnections.CallerConnections;
+  private readonly callerOptions: Omit<
+    callerconnections.CallerConnectionsOptions,
+    'server'
+  >;
   private readonly shutdown: shutdowns.Shutdown;
   private readonly lag = new looplag.EventLoopLag(() =>
     this.clock.monotonicMs(),
@@ -343,20 +348,27 @@
         });
       },
     );
-    this.callers = new callerconnections.CallerConnections({
-      ...{server: this.ingress, clock, account: this.buffers, bounds},
+    this.callerOptions = {
+      ...{clock, account: this.buffers, bounds},
       closures: new callerclosures.CallerClosures(log, metrics),
       limits: () => directory.configuration?.limits,
       isStopping: () => shutdown.hasBegun,
+    };
+    this.callers = new callerconnections.CallerConnections({
+      ...{...this.callerOptions, server: this.ingress},
     });
-    this.metricsServer = listeners.createServer((target, response) => {
-      if (target !== settings.metricsPath)
-        return listeners.respond(response, 404, '');
-      void this.metricsText().then(
-        text => listeners.respond(response, 200, text, 'text/plain'),
-        () => listeners.respond(response, 500, ''),
-      );
-    });
+    const {checkConnections} = bounds;
+    this.metricsServer = this.createServer(
+      checkConnections,
+      (target, response) => {
+        if (target !== settings.metricsPath)
+          return listeners.respond(response, 404, '');
+        void this.metricsText().then(
+          text => listeners.respond(response, 200, text, 'text/plain'),
+          () => listeners.respond(response, 500, ''),
+        );
+      },
+    );
   }
 
   /** True when this host has a configuration, all that it needs serves, and it is not stopping. */
@@ -376,21 +388,22 @@
    */
   async start(): Promise<void> {
     const {settings, log} = this.options;
-    const readiness = listeners.createServer((target, response) => {
-      const isReadinessCheck = this.options.formats.isReadinessCheck(target);
-      listeners.respond(
-        response,
-        isReadinessCheck ? (this.isReady ? 200 : 503) : 404,
-        '',
-      );
-    });
-    const lookup = listeners.createServer((target, response) =>
+    const bounds = settings.callerBounds ?? callerbounds.UNBOUNDED;
+    const {checkConnections, lookupConnections} = bounds;
+    const readiness = this.createServer(
+      checkConnections,
+      (target, response) => {
+        const isReadinessCheck = this.options.formats.isReadinessCheck(target);
+        listeners.respond(
+          response,
+          isReadinessCheck ? (this.isReady ? 200 : 503) : 404,
+          '',
+        );
+      },
+    );
+    const lookup = this.createServer(lookupConnections, (target, response) =>
       this.respondWithAddresses(target, response),
     );
-    const {lookupConnections} = settings.callerBounds ?? callerbounds.UNBOUNDED;
-    if (Number.isFinite(lookupConnections)) {
-      lookup.maxConnections = lookupConnections;
-    }
     this.neededServers.push(this.ingress, readiness, lookup);
     const {metricsAddress} = settings;
     void this.listen(this.metricsServer, metricsAddress, Infinity);
@@ -868,6 +881,15 @@
     return metrics.text();
   }
 
+  /** Creates a server beside that of callers' requests. */
+  private createServer(
+    connections: number,
+    handle: (target: string, response: http.ServerResponse) => void,
+  ): http.Server {
+    const bounds = {...this.callerOptions.bounds, connections};
+    return sidelisteners.createServer({...this.callerOptions, bounds}, handle);
+  }
+
   /** Listens on an address, waiting for it while it is taken. */
   private async listen(
     server: http.Server,
--- a/packages/gateway/src/listeners.ts
+++ b/packages/gateway/src/listeners.ts
@@ -9,20 +9,6 @@
 /** The pause between two tries to start a listener. */
 const START_RETRY_MS = 100;
 
-/** Creates a server that passes each request's target to `handle` and ignores request bodies; it responds with 400 if `handle` throws, such as for a target that is no URL. */
-export function createServer(
-  handle: (target: string, response: http.ServerResponse) => void,
-): http.Server {
-  return http.createServer((request, response) => {
-    request.resume();
-    try {
-      handle(request.url ?? '', response);
-    } catch {
-      respond(response, 400, '');
-    }
-  });
-}
-
 /** Listens on ip:port; rejects when the server fails to listen, such as on an address in use. */
 export function listen(server: http.Server, address: string): Promise<void> {
   const [host, port] = address.split(':');
--- a/packages/gateway/src/requestbody.ts
+++ b/packages/gateway/src/requestbody.ts
@@ -102,6 +102,7 @@
   private settle: (result: Buffer | UnreadReason | undefined) => void = () =>
     undefined;
   private isEnded = false;
+  private discardedBytes = 0;
 
   constructor(private readonly options: RequestBodyOptions) {
     const {request, gate, holding, maxBytes} = options;
@@ -112,7 +113,9 @@
     this.statedBytes = length === undefined ? undefined : Number(length);
     request.on('data', (chunk: Buffer) => {
       gate.countChunk();
-      if (!this.isEnded) this.add(chunk);
+      if (!this.isEnded) return this.add(chunk);
+      this.discardedBytes += chunk.length;
+      if (this.discardedBytes > maxBytes) request.destroy();
     });
     // From now on chunks are passed on as they are parsed, so that the gate counts them in time.
     request.read(0);
@@ -132,11 +135,17 @@
     return this.statedBytes - this.chunks.bytes;
   }
 
+  /** True once it is not read any more. */
+  get hasEnded(): boolean {
+    return this.isEnded;
+  }
+
   /** Ends the reading; the rest is discarded as it comes. */
   end(reason: UnreadReason): void {
     if (this.isEnded) return;
     this.isEnded = true;
     this.chunks.clear();
+    this.options.holding.setPart('body', 0, 'bodies');
     this.settle(reason);
   }
 
