--- a/packages/decisions/src/closingorder.ts
+++ b/packages/decisions/src/closingorder.ts
@@ -91,12 +91,17 @@
       if (a.rank !== b.rank) return a.rank - b.rank;
       return a.rank === STALLED_RANK
         ? a.candidate.progressMs - b.candidate.progressMs
-        : a.rate - b.rate;
+        : compare(a.rate, b.rate);
     })
     .map(({candidate}) => candidate);
 }
 
-/** Bytes a millisecond. */
+/** Bytes a millisecond; endless for a request that has just begun. */
 function rateOf({startMs, readBytes}: ConnectionCandidate, nowMs: number) {
-  return readBytes / Math.max(1, nowMs - startMs);
+  return nowMs > startMs ? readBytes / (nowMs - startMs) : Infinity;
+}
+
+function compare(a: number, b: number): number {
+  if (a === b) return 0;
+  return a < b ? -1 : 1;
 }
--- a/packages/forwarding/src/buffers.ts
+++ b/packages/forwarding/src/buffers.ts
@@ -173,7 +173,8 @@
     while (isOver(0)) {
       if (!this.endFirst(classes)) break;
     }
-    if (classes !== HELD_CLASSES) return;
+    // What an ended request holds besides its head is dropped at once.
+    if (!classes.includes('heads')) return;
     let endingBytes = this.endingSumBytes;
     for (const holding of [...this.ending]) {
       if (!isOver(endingBytes)) break;
--- a/packages/gateway/src/callerbounds.ts
+++ b/packages/gateway/src/callerbounds.ts
@@ -6,7 +6,12 @@
 /** The descriptors of `limits.max-fds` that are for files. */
 const FILE_DESCRIPTORS = 200;
 /** The shares of the others by listener; what is left is for hosts, backend servers and the store. */
-const DESCRIPTOR_SHARES = {callers: 0.5, lookups: 0.05, checks: 0.025};
+const DESCRIPTOR_SHARES = {
+  callers: 0.5,
+  lookups: 0.05,
+  checks: 0.025,
+  peers: 0.1,
+};
 /** The least connections of a listener. */
 const MIN_CONNECTIONS = 24;
 /** What an open connection costs; 10 to 23 KB were measured as resident memory, the higher value for the first ones. */
@@ -14,7 +19,7 @@
 /** The share of the memory that connections may take by themselves. */
 const CONNECTION_SHARE = 0.16;
 /** The share that heads may take. */
-const HEAD_SHARE = 0.12;
+const HEAD_SHARE = 0.105;
 /** The share that heads, bodies, responses and connections may take together; a process takes about 70 MB without them, and half as much again as is counted. */
 const SUM_SHARE = 0.3;
 
@@ -26,6 +31,8 @@
   readonly lookupConnections: number;
   /** The most connections that ask whether this host is ready, and the most that read its metrics. */
   readonly checkConnections: number;
+  /** The most connections at the listener for other hosts that have not shown to be of one. */
+  readonly unknownPeers: number;
   readonly headBytes: number;
   readonly sumBytes: number;
 }
@@ -35,6 +42,7 @@
   connections: Infinity,
   lookupConnections: Infinity,
   checkConnections: Infinity,
+  unknownPeers: Infinity,
   headBytes: Infinity,
   sumBytes: Infinity,
 };
@@ -48,11 +56,12 @@
   const shareOf = (share: number) =>
     Math.max(MIN_CONNECTIONS, Math.floor(usable * share));
   const byMemory = (memoryBytes * CONNECTION_SHARE) / CONNECTION_BYTES;
-  const {callers, lookups, checks} = DESCRIPTOR_SHARES;
+  const {callers, lookups, checks, peers} = DESCRIPTOR_SHARES;
   return {
     connections: Math.floor(Math.min(shareOf(callers), byMemory)),
     lookupConnections: shareOf(lookups),
     checkConnections: shareOf(checks),
+    unknownPeers: shareOf(peers),
     headBytes: memoryBytes * HEAD_SHARE,
     sumBytes: memoryBytes * SUM_SHARE,
   };
--- a/packages/gateway/src/callerconnection.ts
+++ b/packages/gateway/src/callerconnection.ts
@@ -25,6 +25,10 @@
 const MAX_PIPELINED = 16;
 /** The most bytes of a body in a row without content, besides those of trailers, which may have the size of a head; the parser takes as many bytes of chunk extensions. */
 const MAX_EXTENSION_BYTES = 16_384;
+/** Header lines of fewer than 16 bytes on average are parsed at the pace of small chunks; lines of ordinary callers have 30 and more. */
+const LINES_PER_CHUNK = 8;
+/** The most requests behind others on their connections that are dispatched at once; each may take a connection to a backend server. */
+const MAX_DISPATCHED_BEHIND = 128;
 const LINE_END = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
 const HEAD_END = '\r\n\r\n';
@@ -50,8 +54,14 @@
   readonly body: requestbody.RequestBody;
 }
 
+/** The requests of all connections that are dispatched behind another one of their connection. */
+export interface DispatchedBehind {
+  count: number;
+}
+
 /** Dependencies of `CallerConnection`. */
 export interface CallerConnectionOptions {
+  readonly behind: DispatchedBehind;
   readonly account: forwarding.buffers.BufferAccount;
   readonly turns: callergate.Turns;
   /** Undefined before the first configuration. */
@@ -76,6 +86,9 @@
   private idleBytes = 0;
   private readonly gate: callergate.Gate;
   private reading: Reading | undefined;
+  private readonly dispatched = new Set<OpenRequest>();
+  /** Called when a request was answered. */
+  private readonly waiting: (() => void)[] = [];
   private headBytes = 0;
   private headLines = 0;
   /** The last bytes of the head that is awaited. */
@@ -150,7 +163,7 @@
     if (this.requests.size >= MAX_PIPELINED) gate.hold('pipelined');
     response.once('close', () => {
       holding.release();
-      this.requests.delete(tracked);
+      this.onAnswered(tracked);
       this.idleBytes = socket.bytesRead;
       this.headStartMs = this.options.watchedMs();
       if (this.requests.size < MAX_PIPELINED) gate.release('pipelined');
@@ -180,6 +193,34 @@
     return this.requests.size === 0 && this.socket.bytesRead === this.idleBytes;
   }
 
+  /** Resolves when a request that was read may be dispatched: at once, unless many are that came behind another one of their connection. */
+  async mayDispatch({tracked, holding}: IncomingRequest): Promise<void> {
+    const {behind} = this.options;
+    while (
+      this.dispatched.size > 0 &&
+      behind.count >= MAX_DISPATCHED_BEHIND &&
+      this.requests.has(tracked) &&
+      !holding.signal.aborted
+    ) {
+      await new Promise<void>(resolve => {
+        this.waiting.push(resolve);
+        holding.signal.addEventListener('abort', () => resolve());
+      });
+    }
+    if (!this.requests.has(tracked)) return;
+    if (this.dispatched.size > 0) behind.count++;
+    this.dispatched.add(tracked);
+  }
+
+  private onAnswered(tracked: OpenRequest): void {
+    this.requests.delete(tracked);
+    if (this.dispatched.delete(tracked) && this.dispatched.size > 0) {
+      this.options.behind.count--;
+    }
+    const waiting = this.waiting.splice(0);
+    for (const resolve of waiting) resolve();
+  }
+
   /** How far its caller is; undefined for an idle one. */
   get stage(): decisions.closingorder.Stage | undefined {
     if (this.isRefused || this.isClosing) return 'refused';
@@ -273,7 +314,8 @@
     return this.headBytes + newBytes;
   }
 
-  private onParsed(slice: Buffer, chunks: number): void {
+  /** Returns the work of what is no chunk, as a number of chunks. */
+  private onParsed(slice: Buffer, chunks: number): number {
     this.readMs = this.options.watchedMs();
     this.holding.markProgress();
     const {reading} = this;
@@ -285,8 +327,9 @@
     } else if (reading) {
       this.onBody(reading, slice, chunks);
     } else if (!this.isClosing) {
-      this.onHead(slice);
+      return this.onHead(slice) / LINES_PER_CHUNK;
     }
+    return 0;
   }
 
   private onBody({holding}: Reading, slice: Buffer, chunks: number): void {
@@ -306,14 +349,16 @@
     holding.setPart('framing', bytes, 'heads');
   }
 
-  private onHead(slice: Buffer): void {
+  /** Returns the number of lines. */
+  private onHead(slice: Buffer): number {
     const {maxHeaderBytes = Infinity} = this.options.limits() ?? {};
     if (this.headBytes === 0 && this.isUsed) this.headStartMs = this.readMs;
-    const lines = this.headLines + linesOf(slice);
-    this.setHead(this.headBytes + slice.length, lines);
+    const lines = linesOf(slice);
+    this.setHead(this.headBytes + slice.length, this.headLines + lines);
     const tail = Buffer.concat([this.headTail, slice.subarray(-TAIL_BYTES)]);
     this.headTail = tail.subarray(-TAIL_BYTES);
     if (this.headBytes > maxHeaderBytes) this.close('head-too-large', 431);
+    return lines;
   }
 
   private setHead(bytes: number, lines: number): void {
--- a/packages/gateway/src/callerconnections.ts
+++ b/packages/gateway/src/callerconnections.ts
@@ -14,8 +14,8 @@
 const CHECK_INTERVAL_MS = 250;
 /** The most time that counts as watched between two checks; what is beyond it was missed. */
 const MAX_WATCHED_MS = 2 * CHECK_INTERVAL_MS;
-/** Connections beyond the bound that are accepted until others have closed for them. */
-const ACCEPT_SLACK = 32;
+/** The server counts closed connections for a moment, while their descriptors are free already; from this multiple of the bound on it accepts no more. */
+const ACCEPTED_FACTOR = 4;
 /** The most connections that are put in order at once. */
 const MAX_ORDERED = 64;
 
@@ -49,6 +49,7 @@
     callerconnection.CallerConnection
   >();
   private readonly turns = new callergate.Turns();
+  private readonly behind: callerconnection.DispatchedBehind = {count: 0};
   private order: callerconnection.CallerConnection[] = [];
   private watchedMs = 0;
   private checkedMs: number;
@@ -58,7 +59,7 @@
     const {server, clock, bounds, closures} = options;
     this.checkedMs = clock.monotonicMs();
     if (Number.isFinite(bounds.connections)) {
-      server.maxConnections = bounds.connections + ACCEPT_SLACK;
+      server.maxConnections = bounds.connections * ACCEPTED_FACTOR;
     }
     server.on('connection', (socket: net.Socket) => this.onConnection(socket));
     server.on('drop', () => closures.count('too-many-connections'));
@@ -88,6 +89,14 @@
     this.open.get(request.socket)?.onRead(incoming);
   }
 
+  /** Resolves when a request that was read may be dispatched. */
+  async mayDispatch(
+    request: http.IncomingMessage,
+    incoming: callerconnection.IncomingRequest,
+  ): Promise<void> {
+    await this.open.get(request.socket)?.mayDispatch(incoming);
+  }
+
   /** Marks that a request is refused before it was read. */
   onRefused(
     request: http.IncomingMessage,
@@ -134,7 +143,7 @@
   private onConnection(socket: net.Socket): void {
     const {account, limits, closures, bounds} = this.options;
     const connection = new callerconnection.CallerConnection(socket, {
-      ...{account, limits, turns: this.turns},
+      ...{account, limits, turns: this.turns, behind: this.behind},
       watchedMs: () => this.watchedMs,
       onClosure: cause => closures.count(cause),
     });
--- a/packages/gateway/src/callergate.ts
+++ b/packages/gateway/src/callergate.ts
@@ -16,8 +16,8 @@
   readonly turns: Turns;
   /** The bytes that certainly belong to the body that is being read. */
   readonly bodyBytesAhead: () => number;
-  /** Called after a slice was parsed, with the chunks of bodies and the requests that began in it. */
-  readonly onParsed: (slice: Buffer, chunks: number, requests: number) => void;
+  /** Called after a slice was parsed, with the chunks of bodies in it; returns what else it held, as a number of chunks that cost as much. */
+  readonly onParsed: (slice: Buffer, chunks: number) => number;
   /** Called when the bytes that wait to be parsed change. */
   readonly onWaiting: (bytes: number) => void;
   /** Closes the connection for the rate of its small chunks. */
@@ -155,8 +155,8 @@
     const {chunks, requests} = this;
     this.chunks = 0;
     this.requests = 0;
-    this.options.onParsed(slice, chunks, requests);
-    return this.pace.afterSlice(slice.length, chunks, requests);
+    const work = chunks + this.options.onParsed(slice, chunks);
+    return this.pace.afterSlice(slice.length, work, requests);
   }
 
   private awaitTurn(): void {
--- a/packages/gateway/src/host.ts
+++ b/packages/gateway/src/host.ts
@@ -190,8 +190,9 @@
       const logged = TIMELINE_EVENTS[event.kind as timelines.EventKind];
       if (logged) log.event(logged, event.requestId, {...event.detail});
     });
+    const {callerBounds: bounds = callerbounds.UNBOUNDED} = settings;
     this.links = new peers.links.Links({
-      host,
+      ...{host, maxUnknownConnections: bounds.unknownPeers},
       secret: LINK_SECRET,
       onMessage: (from, item) => {
         this.members.onMessageFrom(from);
@@ -309,7 +310,6 @@
       onRewritten: key => this.onRewritten('rollout', key),
     });
     const {bufferLimitBytes} = settings;
-    const {callerBounds: bounds = callerbounds.UNBOUNDED} = settings;
     this.buffers = new forwarding.buffers.BufferAccount(
       ...([bufferLimitBytes, bounds] as const),
     );
@@ -618,6 +618,7 @@
         result = callerrequests.UNREAD_REJECTIONS[body]();
       } else {
         this.callers.onRead(request, incoming);
+        await this.callers.mayDispatch(request, incoming);
         const checked =
           this.rejectionForLag() ??
           this.check(
--- a/packages/peers/src/links.ts
+++ b/packages/peers/src/links.ts
@@ -2,6 +2,7 @@
 // one for each pair of hosts that have messages for each other.
 import * as grpc from '@grpc/grpc-js';
 
+import * as listeners from './listener.js';
 import * as messages from './messages.js';
 import * as tunnels from './tunnels.js';
 
@@ -40,6 +41,8 @@
   readonly host: string;
   /** The secret that all hosts share; links from a host with another one are rejected. */
   readonly secret: string;
+  /** The most connections that have not shown to be of a host; no bound by default. */
+  readonly maxUnknownConnections?: number;
   /** Without this option links are not encrypted. */
   readonly tls?: PeerTls;
   /** Called for each message; messages that arrive over one link keep their order. */
@@ -87,7 +90,8 @@
  * flight may be lost.
  */
 export class Links {
-  private server = this.createServer();
+  private readonly server = this.createServer();
+  private listener: listeners.PeerListener | undefined;
   private readonly links = new Map<string, Link>();
   private readonly outboxes = new Map<string, messages.Message[]>();
   private readonly addresses = new Map<string, string>();
@@ -119,17 +123,13 @@
           true,
         )
       : grpc.ServerCredentials.createInsecure();
-    return new Promise((resolve, reject) => {
-      this.server.bindAsync(address, credentials, (error, port) => {
-        if (error) {
-          // A server whose address could not be bound can't bind it later.
-          this.server.forceShutdown();
-          this.server = this.createServer();
-          return reject(error);
-        }
-        this.isBound = true;
-        resolve(port);
-      });
+    const {maxUnknownConnections = Infinity} = this.options;
+    this.listener ??= new listeners.PeerListener(
+      ...([this.server, credentials, maxUnknownConnections] as const),
+    );
+    return this.listener.listen(address).then(port => {
+      this.isBound = true;
+      return port;
     });
   }
 
@@ -174,6 +174,7 @@
   close(): void {
     for (const host of this.tunnelClients.keys()) this.dropTunnels(host);
     for (const [host, link] of this.links) this.closeLink(host, link);
+    this.listener?.close();
     this.server.forceShutdown();
   }
 
@@ -263,7 +264,10 @@
   ): string | undefined {
     const host = call.metadata.get('host')[0];
     const secret = call.metadata.get('secret')[0];
-    if (typeof host === 'string' && secret === this.options.secret) return host;
+    if (typeof host === 'string' && secret === this.options.secret) {
+      this.listener?.onAuthenticated(call.getPeer());
+      return host;
+    }
     call.emit('error', {code: grpc.status.UNAUTHENTICATED});
     return undefined;
   }
