--- a/packages/decisions/src/closingorder.ts
+++ b/packages/decisions/src/closingorder.ts
@@ -3,8 +3,8 @@
  * a bound.
  */
 
-/** How far a request is, or that of a connection that is being read. */
-export type Stage = 'refused' | 'reading' | 'running' | 'ready';
+/** How far a request is, or that of a connection that is being read; `queued` is one behind others of its connection that was not sent. */
+export type Stage = 'refused' | 'queued' | 'reading' | 'running' | 'ready';
 
 /** What may be ended at a bound. */
 export interface Candidate {
@@ -20,9 +20,10 @@
 
 const RANKS: Readonly<Record<Stage, number>> = {
   refused: 0,
-  reading: 2,
-  running: 2,
-  ready: 3,
+  queued: 2,
+  reading: 3,
+  running: 3,
+  ready: 4,
 };
 const STALLED_RANK = 1;
 
@@ -34,8 +35,8 @@
 }
 
 /**
- * Chooses what to end first: refused ones, then the longest stalled, then the
- * largest; complete responses last. The latest among equals is ended.
+ * Chooses what to end first: refused ones, then the longest stalled, then
+ * queued ones, then the largest; complete responses last. The latest among equals is ended.
  */
 export function firstToEnd<C extends Candidate>(
   candidates: Iterable<C>,
--- a/packages/gateway/src/callerconnection.ts
+++ b/packages/gateway/src/callerconnection.ts
@@ -117,6 +117,7 @@
     this.readMs = this.headStartMs;
     this.gate = new callergate.Gate(socket, {
       turns,
+      isPipelined: () => this.requests.size > 0 && !this.reading,
       bodyBytesAhead: () => this.reading?.body.bytesAhead ?? 0,
       onParsed: (slice, chunks) => this.onParsed(slice, chunks),
       onWaiting: bytes => this.holding.setPart('waiting', bytes, 'bodies'),
@@ -142,8 +143,9 @@
     const tracked: OpenRequest = {id, arrivedMs, stage: 'reading'};
     this.requests.add(tracked);
     this.isUsed = true;
+    const isFirst = this.requests.size === 1;
     const holding = this.options.account.open({
-      stage: 'reading',
+      stage: isFirst ? 'reading' : 'queued',
       close: () => socket.destroy(),
     });
     const {maxBodyBytes = Infinity, maxHeaderBytes = Infinity} =
@@ -160,13 +162,13 @@
     );
     if (wireBytes > maxHeaderBytes) body.end('head-too-large');
     this.reading = {request, holding, body};
-    if (this.requests.size >= MAX_PIPELINED) gate.hold('pipelined');
+    if (this.requests.size >= this.maxPipelined) gate.hold('pipelined');
     response.once('close', () => {
       holding.release();
       this.onAnswered(tracked);
       this.idleBytes = socket.bytesRead;
       this.headStartMs = this.options.watchedMs();
-      if (this.requests.size < MAX_PIPELINED) gate.release('pipelined');
+      if (this.requests.size < this.maxPipelined) gate.release('pipelined');
     });
     return {tracked, holding, body};
   }
@@ -185,7 +187,7 @@
   /** Marks that the body of a request was read; it is not ended for what its caller sends any more. */
   onRead({tracked, holding}: IncomingRequest): void {
     tracked.stage = 'dispatching';
-    holding.setStage('running');
+    if (this.dispatched.size === 0) holding.setStage('running');
   }
 
   /** True without a response in progress, if no further request has begun to arrive. */
@@ -210,6 +212,7 @@
     if (!this.requests.has(tracked)) return;
     if (this.dispatched.size > 0) behind.count++;
     this.dispatched.add(tracked);
+    holding.setStage('running');
   }
 
   private onAnswered(tracked: OpenRequest): void {
@@ -314,6 +317,11 @@
     return this.headBytes + newBytes;
   }
 
+  private get maxPipelined(): number {
+    const isCrowded = this.options.behind.count >= MAX_DISPATCHED_BEHIND;
+    return isCrowded ? 2 : MAX_PIPELINED;
+  }
+
   /** Returns the work of what is no chunk, as a number of chunks. */
   private onParsed(slice: Buffer, chunks: number): number {
     this.readMs = this.options.watchedMs();
--- a/packages/gateway/src/callergate.ts
+++ b/packages/gateway/src/callergate.ts
@@ -9,11 +9,16 @@
 /** Why a connection is not read for now. */
 type HoldReason = 'turn' | 'crowded' | 'pipelined';
 
+/** The most bytes of pipelined requests that are parsed at once; a few requests. */
+const PIPELINED_SLICE_BYTES = 512;
+
 type Feed = (bytes: Buffer) => void;
 
 /** Dependencies of `Gate`. */
 export interface GateOptions {
   readonly turns: Turns;
+  /** True while requests are read behind others that are not answered. */
+  readonly isPipelined: () => boolean;
   /** The bytes that certainly belong to the body that is being read. */
   readonly bodyBytesAhead: () => number;
   /** Called after a slice was parsed, with the chunks of bodies in it; returns what else it held, as a number of chunks that cost as much. */
@@ -117,7 +122,7 @@
 
   private take(bytes: Buffer): void {
     if (this.isClosed) return;
-    if (this.isHeld || bytes.length > this.pace.sliceBytes) {
+    if (this.isHeld || bytes.length > this.sliceBytes) {
       this.setWaiting([...this.waiting, bytes]);
     } else if (this.parse(bytes)) {
       this.awaitTurn();
@@ -125,6 +130,13 @@
     this.readOn();
   }
 
+  private get sliceBytes(): number {
+    const {sliceBytes} = this.pace;
+    return this.options.isPipelined()
+      ? Math.min(sliceBytes, PIPELINED_SLICE_BYTES)
+      : sliceBytes;
+  }
+
   /** Parses what waits, up to small chunks or a hold, and then reads on. */
   private readOn(): void {
     if (this.parsed) return;
@@ -140,7 +152,7 @@
   private parseNext(): boolean {
     const [first, ...others] = this.waiting;
     const {bodyBytesAhead} = this.options;
-    const size = Math.max(this.pace.sliceBytes, bodyBytesAhead());
+    const size = Math.max(this.sliceBytes, bodyBytesAhead());
     const isWhole = first.length <= size;
     this.setWaiting(isWhole ? others : [first.subarray(size), ...others]);
     return this.parse(isWhole ? first : first.subarray(0, size));
--- a/packages/gateway/src/requestbody.ts
+++ b/packages/gateway/src/requestbody.ts
@@ -126,6 +126,7 @@
     request.on('close', () => this.settle(undefined));
     const onNoRoom = () => this.end('no-room');
     holding.signal.addEventListener('abort', onNoRoom, {once: true});
+    if (holding.signal.aborted) onNoRoom();
     if ((this.statedBytes ?? 0) > maxBytes) this.end('body-too-large');
   }
 
