--- a/packages/forwarding/src/buffers.ts
+++ b/packages/forwarding/src/buffers.ts
@@ -14,9 +14,6 @@
 const LARGE_SHARE = 0.005;
 /** The pause after each chunk of a request that reads more slowly. */
 export const PAUSE_MS = 50;
-/** From this share on, the pause is longer: what is read then is mostly ended for room, and freed late. */
-const FULL_SHARE = 0.85;
-const FULL_PAUSE_MS = 250;
 /** A pause after a smaller chunk would let many parsed ones wait. */
 const MIN_PAUSED_CHUNK_BYTES = 1024;
 
@@ -142,12 +139,6 @@
     );
   }
 
-  /** The pause after each chunk of such a request. */
-  get pauseMs(): number {
-    const isFull = this.heldBytes > this.limitBytes * FULL_SHARE;
-    return isFull ? FULL_PAUSE_MS : PAUSE_MS;
-  }
-
   /** Counts a change of an open holding, and ends others or itself for room. */
   change(holding: OpenHolding, heldClass: HeldClass, bytes: number): void {
     if (this.ending.has(holding)) {
@@ -264,7 +255,7 @@
     this.account.change(this, 'responses', bytes + CHUNK_OVERHEAD_BYTES);
     if (!source || !this.isSlowed(bytes)) return;
     source.pause();
-    setTimeout(() => source.resume(), this.account.pauseMs);
+    setTimeout(() => source.resume(), PAUSE_MS);
   }
 
   isSlowed(chunkBytes: number): boolean {
--- a/packages/gateway/src/callerresponse.ts
+++ b/packages/gateway/src/callerresponse.ts
@@ -10,9 +10,6 @@
 /** Rejections of what is over a limit close the connection. */
 const CLOSING_STATUSES: ReadonlySet<number> = new Set([408, 413, 431]);
 
-/** A read of the connection to the backend server, and what its response buffers. */
-const READ_AHEAD_BYTES = 2 * 65_536;
-
 /** How long the rest of a rejected request's body is awaited. */
 const UNREAD_TIMEOUT_MS = 2000;
 
@@ -77,12 +74,6 @@
     return this.response.write(bytes);
   }
 
-  /** What a streamed response from `from` holds while its caller does not read: what is written and read, and what is read of it before that stops. */
-  unsentBytes(from: http.IncomingMessage): number {
-    const readBytes = from.readableLength + from.socket.readableLength;
-    return this.response.writableLength + readBytes + READ_AHEAD_BYTES;
-  }
-
   /** Resolves when the write buffer has drained or the connection has closed. */
   waitForDrain(): Promise<void> {
     const {response} = this;
--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -828,7 +828,7 @@
         }
         if (caller.write(bytes)) continue;
         attempt.silence.stop();
-        holding.setPart('unsent', caller.unsentBytes(response));
+        holding.setPart('unsent', bytes.length);
         await caller.waitForDrain();
         holding.setPart('unsent', 0);
         attempt.silence.onData();
