--- a/packages/gateway/src/logs.ts
+++ b/packages/gateway/src/logs.ts
@@ -36,6 +36,7 @@
   | 'cut'
   | 'failed'
   | 'caller-left'
+  | 'caller-closed'
   | 'suspect'
   | 'suppressed'
   | 'error';
