--- a/packages/gateway/src/callerconnection.ts
+++ b/packages/gateway/src/callerconnection.ts
@@ -198,16 +198,16 @@
   /** Resolves when a request that was read may be dispatched: at once, unless many are that came behind another one of their connection. */
   async mayDispatch({tracked, holding}: IncomingRequest): Promise<void> {
     const {behind} = this.options;
-    while (
+    const mustWait = () =>
       this.dispatched.size > 0 &&
       behind.count >= MAX_DISPATCHED_BEHIND &&
       this.requests.has(tracked) &&
-      !holding.signal.aborted
-    ) {
-      await new Promise<void>(resolve => {
-        this.waiting.push(resolve);
-        holding.signal.addEventListener('abort', () => resolve());
-      });
+      !holding.signal.aborted;
+    if (mustWait()) {
+      holding.signal.addEventListener('abort', () => this.wake());
+      while (mustWait()) {
+        await new Promise<void>(resolve => this.waiting.push(resolve));
+      }
     }
     if (!this.requests.has(tracked)) return;
     if (this.dispatched.size > 0) behind.count++;
@@ -220,8 +220,11 @@
     if (this.dispatched.delete(tracked) && this.dispatched.size > 0) {
       this.options.behind.count--;
     }
-    const waiting = this.waiting.splice(0);
-    for (const resolve of waiting) resolve();
+    this.wake();
+  }
+
+  private wake(): void {
+    for (const resolve of this.waiting.splice(0)) resolve();
   }
 
   /** How far its caller is; undefined for an idle one. */
