Load reports with more than three figures are read

What operators saw: backend servers that add a fourth figure to X-Banyanhall-Endpoint-Load, how long work takes, lost their whole report at every response, without a log line.

Cause: the reader took exactly three numbers.

Change: a module of its own reads reports. The first three figures are used whatever follows, the fourth if it is a positive number, further ones are ignored. A fourth figure is bounded to 100 to 1,000 percent, so that a wrong one neither draws work nor keeps all of it away. What can't be read is logged once for each header of a start of a backend server; before, the first unreadable header of a start hid those of others. An empty figure ("1,,3") was read as zero and is no report now.

--- a/packages/forwarding/src/headers.ts
+++ b/packages/forwarding/src/headers.ts
@@ -19,7 +19,7 @@
   readonly signature: string;
   /** On a response: the backend server did not run the request. */
   readonly notRun: string;
-  /** On a response: running requests, waiting requests and slots, as three comma-separated numbers. */
+  /** On a response: running requests, waiting requests, slots and how long work takes in percent, separated by commas; read by `loadreport`. */
   readonly load: string;
   /** On a response: what the backend server states about itself. */
   readonly statements: statements.StatementHeaders;
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -3,6 +3,7 @@
 export * as clientrequest from './clientrequest.js';
 export * as events from './events.js';
 export * as headers from './headers.js';
+export * as loadreport from './loadreport.js';
 export * as paths from './paths.js';
 export * as probe from './probe.js';
 export * as statements from './statements.js';
--- a/packages/forwarding/src/statements.ts
+++ b/packages/forwarding/src/statements.ts
@@ -24,8 +24,15 @@
   readonly limit: number | undefined;
   /** 1 if the backend server leaves. */
   readonly leaving: number | undefined;
-  /** The headers that could not be read, as `name: value`. */
-  readonly unreadable: readonly string[];
+  /** The headers that could not be read, that of the load report included. */
+  readonly unreadable: readonly Unreadable[];
+}
+
+/** A header whose value could not be read, or only in part. */
+export interface Unreadable {
+  /** The name of the header. */
+  readonly header: string;
+  readonly text: string;
 }
 
 /** What is known of a backend server before its answer; used for a header that can't be read. */
@@ -55,13 +62,13 @@
   names: StatementHeaders,
   known: KnownStatements = {},
 ): Statements {
-  const unreadable: string[] = [];
+  const unreadable: Unreadable[] = [];
   const valueOf = (kind: keyof StatementHeaders) => {
     const header = headers[names[kind]];
     if (header === undefined) return undefined;
     const text = String(header);
     const {value, isReadable} = READERS[kind](text, known[kind]);
-    if (!isReadable) unreadable.push(`${names[kind]}: ${text}`);
+    if (!isReadable) unreadable.push({header: names[kind], text});
     return value;
   };
   const limit = valueOf('limit');
--- a/packages/forwarding/src/upstream.ts
+++ b/packages/forwarding/src/upstream.ts
@@ -6,6 +6,7 @@
 import type * as buffers from './buffers.js';
 import * as connections from './connections.js';
 import * as headerNames from './headers.js';
+import * as loadreports from './loadreport.js';
 import type * as paths from './paths.js';
 import * as statementReaders from './statements.js';
 
@@ -64,13 +65,6 @@
   readonly onCut?: () => void;
 }
 
-/** The running requests, waiting requests and slots that a response reports. */
-export interface LoadReport {
-  readonly running: number;
-  readonly waiting: number;
-  readonly slots: number;
-}
-
 /** Why an attempt yielded no usable response. */
 export type FailureCause =
   | 'invalid-request'
@@ -93,7 +87,7 @@
     'not-run' | 'may-have-run'
   >;
   readonly status: number;
-  readonly load: LoadReport | undefined;
+  readonly load: loadreports.LoadReport | undefined;
   /** What the backend server stated about itself; undefined without a response of its own. */
   readonly statements: statementReaders.Statements | undefined;
   readonly detail: string;
@@ -103,7 +97,7 @@
 export interface ResponseHead {
   readonly kind: 'answer';
   readonly response: http.IncomingMessage;
-  readonly load: LoadReport | undefined;
+  readonly load: loadreports.LoadReport | undefined;
   readonly statements: statementReaders.Statements;
   /** Whether the whole body has arrived; false when the connection was reset at its end. */
   readonly isWhole: () => boolean;
@@ -329,7 +323,8 @@
       const detail = `response has request id ${id ?? '(none)'}, not that of the request`;
       return this.failure('foreign-answer', 'may-have-run', detail);
     }
-    const load = parseLoad(headerNames.value(response.headers, names.load));
+    const loadText = headerNames.value(response.headers, names.load);
+    const {load, isReadable} = loadreports.read(loadText);
     const status = response.statusCode ?? 0;
     if (status < MIN_FINAL_STATUS) {
       request.destroy();
@@ -341,9 +336,13 @@
       const detail = `address belongs to backend server ${found ?? '(not stated)'}, not to the expected one`;
       return {...this.failure('wrong-server', 'not-run', detail), status, load};
     }
-    const statements = statementReaders.read(
+    const stated = statementReaders.read(
       ...([response.headers, names.statements, outbound.known] as const),
     );
+    const unreadableLoad = {header: names.load, text: loadText ?? ''};
+    const statements = isReadable
+      ? stated
+      : {...stated, unreadable: [...stated.unreadable, unreadableLoad]};
     if (response.headers[names.notRun] !== undefined) {
       const detail = `backend server answered ${status} and did not run the request`;
       const failure = this.failure('refused', 'not-run', detail);
@@ -417,12 +416,3 @@
     response.on('close', () => resolve(undefined));
   });
 }
-
-function parseLoad(text: string | undefined): LoadReport | undefined {
-  const parts = (text ?? '').split(',').map(Number);
-  if (parts.length !== 3 || parts.some(n => !Number.isFinite(n))) {
-    return undefined;
-  }
-  const [running, waiting, slots] = parts;
-  return {running, waiting, slots};
-}
--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -16,6 +16,7 @@
 import * as requests from './request.js';
 import type * as rollouts from './rollouts.js';
 import * as shutdowns from './shutdown.js';
+import * as serverreports from './serverreports.js';
 import * as silences from './silence.js';
 import * as suspectrejections from './suspectrejections.js';
 
@@ -34,9 +35,6 @@
 const SILENT_MS = 1100;
 /** The number of events after which the pace of a stream is compared between versions, so that slow streams count before they end. */
 const PACE_EVENTS = 8;
-/** The most starts of backend servers of which it is remembered that an unreadable statement was logged. */
-const MAX_UNREADABLE_STARTS = 1024;
-const MAX_LOGGED_CHARS = 200;
 const OK = 200;
 const SERVER_ERROR = 500;
 /** The default retry-after time when no backend server accepted the request. */
@@ -146,13 +144,14 @@
 
 /** Dispatches requests to backend servers and relays the responses. */
 export class Dispatcher {
-  /** The starts of backend servers of which an unreadable statement was logged. */
-  private readonly unreadableStarts = new Set<string>();
+  private readonly unreadableLog: serverreports.UnreadableLog;
 
   /** The number of slot requests so far. */
   private slotRequests = 0;
 
-  constructor(private readonly options: DispatcherOptions) {}
+  constructor(private readonly options: DispatcherOptions) {
+    this.unreadableLog = new serverreports.UnreadableLog(options.log);
+  }
 
   /**
    * Dispatches one request, with retries, until it is answered or no retry is
@@ -404,7 +403,7 @@
       AbortSignal.any([signal, attempt.cut.signal]),
     );
     if (result.statements) {
-      this.logUnreadable(entry, result.statements.unreadable);
+      this.unreadableLog.report(entry, result.statements.unreadable);
       statements.onAnswer(
         ...([received.id, start, sentRevisions, result.statements] as const),
       );
@@ -660,23 +659,6 @@
     return relayedMs + route.callerPatienceMs;
   }
 
-  /** Logs once for a start of a backend server that it states something that can't be read. */
-  private logUnreadable(
-    entry: directories.ServerEntry,
-    unreadable: readonly string[],
-  ): void {
-    const start = directories.startOf(entry);
-    if (unreadable.length === 0 || this.unreadableStarts.has(start)) return;
-    if (this.unreadableStarts.size >= MAX_UNREADABLE_STARTS) {
-      this.unreadableStarts.clear();
-    }
-    this.unreadableStarts.add(start);
-    this.options.log.event('bad-input', '', {
-      ...{what: 'statement of a backend server', key: entry.id},
-      detail: unreadable.join('; ').slice(0, MAX_LOGGED_CHARS),
-    });
-  }
-
   /** Describes the limits in a pool, for the log; empty if no backend server states one. */
   private describeLimits({backendServers}: decisions.config.Service): string {
     const limits = backendServers.flatMap(({name}) => {
@@ -1166,7 +1148,7 @@
 
 /** The requests on a backend server, running and waiting, by its own load report. */
 function inUseOf(
-  load: forwarding.upstream.LoadReport | undefined,
+  load: forwarding.loadreport.LoadReport | undefined,
 ): number | undefined {
   return load && load.running + load.waiting;
 }
