Retry-After of a server's 503 and Server-Brittle are kept

What callers saw: requests went on to backend servers that had rejected this host with Retry-After, and brittle servers failed when their keeper was lost, as hosts without a keeper and new keepers gave them more than they have slots for.

Change: both are rows of the tables of statements. Retry-After concerns this host alone: until its time has passed, the host sends that start of the server nothing, names it as excluded in its tickets and gives back slots granted there; a service whose servers all back off refuses with the time of the first one (reason server-backoff). Times are bounded to 600 s. Server-Brittle is shared like a limit: the cell keeps the requests at such a server, those of others included, within its slots, starts with one at a time after a failure or a change of keeper, and hosts whose keeper is silent do not use it.

--- a/packages/decisions/src/cell.test.ts
+++ b/packages/decisions/src/cell.test.ts
@@ -658,3 +658,44 @@
   );
   assert.deepEqual(grants(cell.apply(ask(ticket('t2')), 1500)), []);
 });
+
+const measuredWith = (inUse?: number) => ({
+  ...{prefillTokens: 100, outputTokens: 100, inUse},
+  ...{firstTokenMs: 50, durationMs: 100},
+});
+
+// Guards against a grant on a runner that accepts nothing from the ticket's host, and against one that waits for it.
+test.test('a ticket is not granted on an excluded runner', () => {
+  const cell = cellWith(server('s1'), server('s2'));
+  const excluded = ['s1'];
+  for (let i = 0; i < 5; i++) {
+    const asked = cell.apply(ask(ticket(`t${i}`, {excluded})), 0);
+    assert.deepEqual(runnersOf(asked), ['s2']);
+  }
+  const all = ask(ticket('none', {excluded: ['s1', 's2']}));
+  const [effect] = cell.apply(all, 0).effects;
+  assert.equal(effect.kind === 'refuse' && effect.reason, 'no-runner');
+});
+
+// Guards against a brittle runner that gets all its slots filled at once after a failure.
+test.test('a brittle runner that was down comes back gently', () => {
+  const roomy = {...server('s1'), slotTokens: 1e6, maxRunning: 4};
+  const brittle = {kind: 'brittle', runner: 's1', part: 1} as const;
+  let cell = cellWith(roomy).apply(brittle, 0).cell;
+  cell = cell.apply(ask(ticket('t0')), 0).cell;
+  const crashed = {kind: 'crashed'} as const;
+  const failed = {kind: 'done', ticketId: 't0', outcome: crashed} as const;
+  cell = cell.apply(failed, 10).cell;
+  for (let i = 1; i <= 12; i++)
+    cell = cell.apply(ask(ticket(`t${i}`)), 20).cell;
+  const counts: number[] = [];
+  for (let nowMs = 600; counts.length < 5; nowMs += 10) {
+    cell = cell.apply({kind: 'tick'}, nowMs).cell;
+    counts.push(cell.running.length);
+    const [{ticket: first}] = cell.running;
+    const outcome = {kind: 'completed', measured: measuredWith()} as const;
+    const done = {kind: 'done', ticketId: first.id, outcome} as const;
+    cell = cell.apply(done, nowMs + 5).cell;
+  }
+  assert.deepEqual(counts, [1, 2, 3, 4, 4]);
+});
--- a/packages/decisions/src/cell.ts
+++ b/packages/decisions/src/cell.ts
@@ -211,10 +211,11 @@
    * Refuses a ticket as overloaded, and before it all waiting tickets of lower
    * tiers; `waitMs` is its expected wait. A suspect request waits for an idle
    * runner, so it is refused alone: that says nothing about the load. So is one
-   * that goes on without a slot, as nothing is lost.
+   * that may not use all runners, and one that goes on without a slot, as nothing is lost.
    */
   shed(ticket: tickets.Ticket, waitMs: number, nowMs: number): Transition {
-    if (ticket.isSuspect || ticket.isOptional) {
+    const isSpecial = ticket.isSuspect || tickets.hasExclusions(ticket);
+    if (isSpecial || ticket.isOptional) {
       const retryAfterMs = retryDelayMs(ticket, waitMs, nowMs);
       return this.refuse(ticket, 'overloaded', retryAfterMs);
     }
@@ -324,6 +325,11 @@
     return this.updateRunner(name, r => r.withLimit(limitPerS, nowMs));
   }
 
+  /** Records whether a runner states that it is brittle, and the part of its slots that this cell may use then. */
+  setBrittle(name: string, part: number | undefined): Cell {
+    return this.updateRunner(name, runner => runner.withBrittle(part));
+  }
+
   /** Removes the waiting tickets of a lost host and releases its slots after `ORPHAN_HOLD_MS`. */
   removeHost(host: string, nowMs: number): Cell {
     const orphanUntilMs = new Map(this.fields.orphanUntilMs);
@@ -604,5 +610,9 @@
     cell: cell.setLimit(event.runner, event.limitPerS, nowMs),
     effects: [],
   }),
+  brittle: (cell, event) => ({
+    cell: cell.setBrittle(event.runner, event.part),
+    effects: [],
+  }),
   tick: (cell, _, nowMs) => cell.expireOverdue(nowMs),
 };
--- a/packages/decisions/src/cellevents.ts
+++ b/packages/decisions/src/cellevents.ts
@@ -47,6 +47,12 @@
       readonly runner: string;
       readonly limitPerS: number | undefined;
     }
+  /** A backend server states that it is brittle, or does not any more (undefined); `part` of its slots may be used. */
+  | {
+      readonly kind: 'brittle';
+      readonly runner: string;
+      readonly part: number | undefined;
+    }
   /** Time has passed: overdue slots are released, late tickets refused. */
   | {readonly kind: 'tick'};
 
--- a/packages/decisions/src/runner.ts
+++ b/packages/decisions/src/runner.ts
@@ -87,6 +87,10 @@
   readonly failureRate: number;
   /** Paces the starts on a runner that states a limit. */
   readonly startRate: startrates.StartRate | undefined;
+  /** The part of the slots that may be used of a runner that states that it is brittle; undefined if it does not. */
+  readonly brittlePart: number | undefined;
+  /** The attempts completed since the runner was created or last went down. */
+  readonly completions: number;
 }
 
 /** The expected times of a ticket on a runner, from its dispatch. */
@@ -139,6 +143,7 @@
       },
       failureRate: 0,
       startRate: undefined,
+      ...{brittlePart: undefined, completions: 0},
     });
   }
 
@@ -185,6 +190,11 @@
     return this.fields.startRate?.limitPerS;
   }
 
+  /** The part of the runner's slots that may be used while it is brittle; undefined while it is not. */
+  get brittlePart(): number | undefined {
+    return this.fields.brittlePart;
+  }
+
   /** The starts that the runner's limit allows in a millisecond. */
   get startsPerMs(): number {
     return this.fields.startRate?.startsPerMs ?? Infinity;
@@ -202,9 +212,10 @@
     return state === 'down' && nowMs >= retryAtMs && running === 0;
   }
 
-  /** Returns true if the runner serves the ticket's version; one without known versions serves all. */
+  /** Returns true if the runner serves the ticket's version and host; one without known versions serves all. */
   serves(ticket: tickets.Ticket): boolean {
     const {versions} = this.fields;
+    if (ticket.excluded?.includes(this.name)) return false;
     return (
       ticket.version === '' ||
       versions.length === 0 ||
@@ -224,6 +235,7 @@
 
   private hasRoomFor(ticket: tickets.Ticket, nowMs: number): boolean {
     if (!this.isAvailable(nowMs) || this.fields.hasSuspect) return false;
+    if (!this.staysWithinBrittleRoom(nowMs)) return false;
     if (this.fields.running === 0) return true;
     if (ticket.isSuspect) return false;
     const ceiling = TIER_CEILING[ticket.tier];
@@ -235,6 +247,22 @@
     );
   }
 
+  /**
+   * Returns true unless the runner is brittle and one more request might have to
+   * wait there. Others' requests count in full while their report is recent.
+   * A runner that was down or is new to its keeper starts with one request, and
+   * each one that completes makes room for one more at a time.
+   */
+  private staysWithinBrittleRoom(nowMs: number): boolean {
+    const {brittlePart, completions, running, server} = this.fields;
+    if (brittlePart === undefined) return true;
+    const {foreignRunning, foreignReportedAtMs} = this.fields;
+    const isRecent = nowMs - foreignReportedAtMs < FOREIGN_DECAY_MS;
+    const slots = Math.max(1, Math.floor(server.maxRunning * brittlePart));
+    const room = Math.min(slots, completions + 1);
+    return running + (isRecent ? foreignRunning : 0) < room;
+  }
+
   /** Returns true if the runner's limit allows a start at `nowMs`. */
   private mayStart(nowMs: number): boolean {
     return this.fields.startRate?.allows(nowMs) ?? true;
@@ -267,6 +295,7 @@
   hasRoom(nowMs: number): boolean {
     const {server, running, hasSuspect} = this.fields;
     if (!this.isAvailable(nowMs) || hasSuspect) return false;
+    if (!this.staysWithinBrittleRoom(nowMs)) return false;
     return running + this.foreignRunningAt(nowMs) < server.maxRunning;
   }
 
@@ -350,6 +379,12 @@
     });
   }
 
+  /** Records whether the runner states that it is brittle, and the part of its slots that may be used then. */
+  withBrittle(brittlePart: number | undefined): Runner {
+    const isSame = brittlePart === this.fields.brittlePart;
+    return isSame ? this : this.with({brittlePart});
+  }
+
   /** Counts a start at `nowMs` against the runner's limit. */
   countStart(nowMs: number): Runner {
     const {startRate} = this.fields;
@@ -423,6 +458,7 @@
       consecutiveFailures,
       retryAtMs: nowMs + backoffMs,
       prefixCache: prefixcache.PrefixCacheEstimate.empty,
+      completions: 0,
     });
   }
 
@@ -462,6 +498,7 @@
     return this.withReportedUse(measured.inUse, nowMs).with({
       state: this.fields.state === 'leaving' ? 'leaving' : 'live',
       consecutiveFailures: 0,
+      completions: this.fields.completions + 1,
       pace: pace.updatePace(this.fields.pace, measured),
     });
   }
--- a/packages/decisions/src/statement.test.ts
+++ b/packages/decisions/src/statement.test.ts
@@ -76,3 +76,14 @@
   });
   fc.assert(property, {seed: SEED, numRuns: 500});
 });
+
+// Guards against requests to a server that accepts nothing yet, as the answer to an earlier request says nothing of it.
+test.test('the time until which a server accepts nothing only grows', () => {
+  const until = (known: statements.Statement, value: statements.StatedValue) =>
+    afterAnswer('retryAfter', known, value, known.revision);
+  const known = until(NO_STATEMENT, 5000);
+  assert.equal(known.value, 5000);
+  assert.equal(until(known, undefined), known);
+  assert.equal(until(known, 4000), known);
+  assert.equal(until(known, 6000).value, 6000);
+});
--- a/packages/decisions/src/statement.ts
+++ b/packages/decisions/src/statement.ts
@@ -2,7 +2,7 @@
 // the answers that different hosts receive.
 
 /** What a backend server can state about itself. */
-export type StatementKind = 'limit' | 'leaving';
+export type StatementKind = 'limit' | 'leaving' | 'brittle' | 'retryAfter';
 
 /** A stated value; undefined when the backend server states nothing of that kind. */
 export type StatedValue = number | undefined;
@@ -24,6 +24,9 @@
   limit: (a = Infinity, b = Infinity) => (a === b ? 0 : a - b),
   // States that it leaves, or nothing.
   leaving: (a, b) => Number(a === undefined) - Number(b === undefined),
+  brittle: (a = Infinity, b = Infinity) => (a === b ? 0 : a - b),
+  // The time until which the backend server accepts nothing.
+  retryAfter: (a = -Infinity, b = -Infinity) => (a === b ? 0 : b - a),
 };
 
 /** Whether a statement can be lifted or weakened by a later one. */
@@ -31,6 +34,17 @@
   limit: true,
   // A backend server that leaves does not come back before it starts again.
   leaving: false,
+  brittle: true,
+  // It ends with its time. An answer that asks for nothing may be to a request that was sent before.
+  retryAfter: false,
+};
+
+/** Whether a statement concerns all hosts, so that they tell each other of it, or only the host that received it. */
+export const IS_SHARED: Readonly<Record<StatementKind, boolean>> = {
+  limit: true,
+  leaving: true,
+  brittle: true,
+  retryAfter: false,
 };
 
 /**
--- a/packages/decisions/src/ticket.ts
+++ b/packages/decisions/src/ticket.ts
@@ -32,6 +32,8 @@
   readonly isOptional?: boolean;
   /** Runners on which earlier attempts failed; other runners are preferred. */
   readonly avoid: readonly string[];
+  /** Runners that may not be used, since they accept nothing from the ticket's host now; undefined means none. */
+  readonly excluded?: readonly string[];
 }
 
 /** The assignment of a slot on a runner to a ticket. */
@@ -45,3 +47,8 @@
 export function slotTokens(ticket: Ticket): number {
   return ticket.promptTokens + ticket.outputTokens;
 }
+
+/** Returns true if some runners accept nothing from the ticket's host now. */
+export function hasExclusions({excluded = []}: Ticket): boolean {
+  return excluded.length > 0;
+}
--- a/packages/decisions/src/waitestimate.ts
+++ b/packages/decisions/src/waitestimate.ts
@@ -41,13 +41,14 @@
     ticket: tickets.Ticket,
     nowMs: number,
   ): readonly runners.Runner[] {
-    const known = this.usableByVersion.get(ticket.version);
+    const key = [ticket.version, ...(ticket.excluded ?? [])].join('\n');
+    const known = this.usableByVersion.get(key);
     if (known) return known;
     const able = [...this.runners.values()].filter(r => r.serves(ticket));
     const available = able.filter(r => r.isAvailable(nowMs));
     const usable =
       available.length > 0 ? available : able.filter(r => r.state === 'down');
-    this.usableByVersion.set(ticket.version, usable);
+    this.usableByVersion.set(key, usable);
     return usable;
   }
 
@@ -60,8 +61,10 @@
 
   /** Returns how long the ticket would occupy the whole cell if it were spread over all runners; tickets behind it wait that much longer. */
   cellTimeMs(ticket: tickets.Ticket, nowMs: number): number {
-    // Versions are served by some of the runners, so their tickets are not compared with the capacity of all.
-    if (ticket.version !== '') return this.newCellTimeMs(ticket, nowMs);
+    // Tickets that only some of the runners serve are not compared with the capacity of all.
+    if (ticket.version !== '' || tickets.hasExclusions(ticket)) {
+      return this.newCellTimeMs(ticket, nowMs);
+    }
     const capacityPerMs = this.capacity(ticket, nowMs);
     if (capacityPerMs === 0) return 0;
     const startsPerMs = this.limitedStarts(ticket, nowMs);
--- a/packages/fleet/src/fallback.ts
+++ b/packages/fleet/src/fallback.ts
@@ -10,22 +10,25 @@
   readonly heldOn: (server: string) => number;
   /** The requests a second that a backend server states to take. */
   readonly limitPerSOf: (server: string) => number | undefined;
+  /** True if a backend server states that it is brittle; without this function, none does. */
+  readonly isBrittle?: (server: string) => boolean;
 }
 
 /**
  * Chooses the backend server of whose slots this host holds the smallest
  * fraction; used while the keeper does not answer. None for a suspect request,
- * and none that states a limit, since only the keeper knows what else runs
- * there and what other hosts send.
+ * and none that states a limit or that it is brittle, since only the keeper
+ * knows what else runs there and what other hosts send.
  */
 export function chooseServer(
   slotRequest: slotsModule.SlotRequest,
   options: FallbackOptions,
 ): decisions.config.BackendServer | undefined {
   if (slotRequest.isSuspect) return undefined;
-  const {region, random, heldOn, limitPerSOf} = options;
+  const {region, random, heldOn, limitPerSOf, isBrittle} = options;
   const scored = slotRequest.service.backendServers
-    .filter(server => limitPerSOf(server.name) === undefined)
+    .filter(({name}) => limitPerSOf(name) === undefined && !isBrittle?.(name))
+    .filter(({name}) => !slotRequest.excluded?.includes(name))
     .map(server => ({
       server,
       held:
--- a/packages/fleet/src/keeper.ts
+++ b/packages/fleet/src/keeper.ts
@@ -33,6 +33,8 @@
   readonly serving: () => readonly decisions.membership.Member[];
   /** The requests a second that a backend server takes, by its name; without this function, none states a limit. */
   readonly limitPerSOf?: (server: string) => number | undefined;
+  /** The part of the slots of a backend server that may be used since it states that it is brittle; undefined if it does not. */
+  readonly brittlePartOf?: (server: string) => number | undefined;
 }
 
 type EffectHandlers = {
@@ -135,7 +137,7 @@
     }
   }
 
-  /** Applies a change of the limit of a backend server. */
+  /** Applies a change of the limit of a backend server, or of whether it is brittle. */
   onLimit(server: string): void {
     for (const [name, {cell}] of this.cells) {
       const runner = cell.runners.find(each => each.name === server);
@@ -143,7 +145,7 @@
     }
   }
 
-  /** Applies changes of the limits of any backend servers. */
+  /** Applies such changes of any backend servers. */
   onLimits(): void {
     for (const [name, {cell}] of this.cells) {
       for (const runner of cell.runners) this.updateLimit(name, runner);
@@ -219,8 +221,12 @@
 
   private updateLimit(cell: string, runner: decisions.runner.Runner): void {
     const limitPerS = this.options.limitPerSOf?.(runner.name);
-    if (limitPerS === runner.limitPerS) return;
-    this.apply(cell, {kind: 'limit', runner: runner.name, limitPerS});
+    if (limitPerS !== runner.limitPerS) {
+      this.apply(cell, {kind: 'limit', runner: runner.name, limitPerS});
+    }
+    const part = this.options.brittlePartOf?.(runner.name);
+    if (part === runner.brittlePart) return;
+    this.apply(cell, {kind: 'brittle', runner: runner.name, part});
   }
 
   private serversOf(name: string): readonly decisions.config.BackendServer[] {
--- a/packages/fleet/src/slots.ts
+++ b/packages/fleet/src/slots.ts
@@ -46,6 +46,8 @@
   readonly isOptional?: boolean;
   /** Backend servers where earlier attempts failed. */
   readonly avoid?: readonly string[];
+  /** Backend servers that may not be used, since they accept nothing from this host now. */
+  readonly excluded?: readonly string[];
 }
 
 /** The assignment of a slot on a backend server, released with `Slots.done`. */
@@ -237,6 +239,15 @@
     });
   }
 
+  /** Returns a slot for which nothing was sent, so that it does not count against the limit of its backend server. */
+  giveBack(ticketId: string): void {
+    const held = this.held.get(ticketId);
+    if (!held) return;
+    this.held.delete(ticketId);
+    const {cell} = held;
+    this.sendToKeeper(cell, {kind: 'withdraw', body: {cell, ticketId}});
+  }
+
   /** Stops tracking a slot that another host has taken over, without releasing it. */
   forget(ticketId: string): void {
     this.held.delete(ticketId);
@@ -486,6 +497,7 @@
       isSuspect: slotRequest.isSuspect,
       isOptional: slotRequest.isOptional ?? false,
       avoid: slotRequest.avoid ?? [],
+      excluded: slotRequest.excluded ?? [],
       urgency: slotRequest.urgency ?? 0,
       region: this.options.region,
     };
--- a/packages/fleet/src/statements.test.ts
+++ b/packages/fleet/src/statements.test.ts
@@ -232,3 +232,22 @@
     }
   }
 });
+
+// Guards against a server that all hosts stop using, since it has rejected a request of one of them.
+test.test('a time to back off is not told to other hosts', () => {
+  const {clock, sent, statements} = create();
+  const revisions = statements.revisionsOf(SERVER);
+  statements.onAnswer('r1', SERVER, revisions, {retryAfter: 5000});
+  clock.advance(1000);
+  statements.onAnswer('r2', SERVER, revisions, {});
+  statements.flush();
+  assert.equal(sent.length, 0);
+  statements.onAnswer('r3', SERVER, revisions, {brittle: 3});
+  assert.deepEqual(
+    sent.flatMap(each => each.statements.map(({kind}) => kind)),
+    ['brittle', 'brittle'],
+  );
+  const news = {server: SERVER, kind: 'retryAfter', hasValue: true};
+  statements.onNews('h2', [{...news, value: 9e9, revision: 9}]);
+  assert.equal(statements.valueOf(SERVER, 'retryAfter'), 5000);
+});
--- a/packages/fleet/src/statements.ts
+++ b/packages/fleet/src/statements.ts
@@ -16,15 +16,18 @@
 type Kind = decisions.statement.StatementKind;
 
 /** All kinds of statements. */
-export const KINDS: readonly Kind[] = ['limit', 'leaving'];
+export const KINDS: readonly Kind[] = [
+  ...(['limit', 'leaving', 'brittle', 'retryAfter'] as const),
+];
+const SHARED_KINDS = KINDS.filter(kind => decisions.statement.IS_SHARED[kind]);
 
 /** The values in one answer by kind; undefined for a kind that the answer does not state. */
 export type StatedValues = Readonly<
   Partial<Record<Kind, decisions.statement.StatedValue>>
 >;
 
-/** The revisions of the statements that were known when a request was sent. */
-export type SentRevisions = Readonly<Record<Kind, number>>;
+/** The revisions of the statements that were known when a request was sent; 0 if a kind is missing. */
+export type SentRevisions = Readonly<Partial<Record<Kind, number>>>;
 
 /** Where a statement was learned. */
 export interface StatementSource {
@@ -102,11 +105,12 @@
     return this.records.get(server)?.byKind.get(kind)?.value;
   }
 
-  /** The number of starts of backend servers that state a value of this kind. */
-  count(kind: Kind): number {
+  /** The number of starts of backend servers that state a value of this kind, above `above` if that is given. */
+  count(kind: Kind, above = -Infinity): number {
     let count = 0;
     for (const {byKind} of this.records.values()) {
-      if (byKind.get(kind)?.value !== undefined) count++;
+      const value = byKind.get(kind)?.value;
+      if (value !== undefined && value > above) count++;
     }
     return count;
   }
@@ -114,8 +118,8 @@
   /** Returns the revisions known now, to be passed to `onAnswer` with the answer to a request that is sent now. */
   revisionsOf(server: string): SentRevisions {
     const byKind = this.records.get(server)?.byKind;
-    const revisionOf = (kind: Kind) => byKind?.get(kind)?.revision ?? 0;
-    return {limit: revisionOf('limit'), leaving: revisionOf('leaving')};
+    const entries = KINDS.map(kind => [kind, byKind?.get(kind)?.revision ?? 0]);
+    return Object.fromEntries(entries) as SentRevisions;
   }
 
   /** Handles what the answer to a request states. */
@@ -129,13 +133,14 @@
     for (const kind of KINDS) {
       const known = this.known(server, kind);
       const next = decisions.statement.afterAnswer(
-        ...([kind, known, values[kind], sentRevisions[kind]] as const),
+        ...([kind, known, values[kind], sentRevisions[kind] ?? 0] as const),
       );
       const source = {from: '', requestId};
-      isChanged = this.apply(server, kind, next, source) || isChanged;
+      const isNew = this.apply(server, kind, next, source);
+      isChanged ||= isNew && decisions.statement.IS_SHARED[kind];
     }
     const record = this.records.get(server);
-    if (!record) return;
+    if (!record || !isShared(record)) return;
     if (isChanged) record.isDirty = true;
     if (this.nowMs - record.sentMs < RESEND_INTERVAL_MS) return;
     if (record.isDirty) return this.spread(server, record, '');
@@ -148,7 +153,7 @@
   /** Merges statements from another host and passes on what is new. */
   onNews(from: string, statements: readonly peers.messages.Statement[]): void {
     for (const {server, kind: name, hasValue, value, revision} of statements) {
-      const kind = KINDS.find(known => known === name);
+      const kind = SHARED_KINDS.find(known => known === name);
       if (!kind) continue;
       const received = {value: hasValue ? value : undefined, revision};
       const known = this.known(server, kind);
@@ -228,7 +233,8 @@
 
   private wire(server: string): readonly peers.messages.Statement[] {
     const byKind = this.records.get(server)?.byKind ?? [];
-    return [...byKind].map(([kind, {value, revision}]) => ({
+    const shared = [...byKind].filter(([kind]) => SHARED_KINDS.includes(kind));
+    return shared.map(([kind, {value, revision}]) => ({
       ...{server, kind, revision},
       hasValue: value !== undefined,
       value: value ?? 0,
@@ -254,3 +260,8 @@
     }
   }
 }
+
+/** True if a record has a statement that other hosts are told of. */
+function isShared({byKind}: ServerRecord): boolean {
+  return SHARED_KINDS.some(kind => byKind.has(kind));
+}
--- a/packages/forwarding/src/statements.test.ts
+++ b/packages/forwarding/src/statements.test.ts
@@ -3,7 +3,10 @@
 
 import * as statements from './statements.js';
 
-const NAMES = {limit: 'x-limit', leaving: 'x-leaving'};
+const NAMES = {
+  ...{limit: 'x-limit', leaving: 'x-leaving'},
+  ...{brittle: 'x-brittle', retryAfter: 'retry-after'},
+};
 
 /** Reads a limit; `known` is the one stated before. */
 function limitIn(text: string | undefined, known?: number) {
@@ -58,3 +61,41 @@
   }
   assert.deepEqual(read('x, 1'), {leaving: 1, isReadable: false});
 });
+
+/** Reads for how long the backend server of a response accepts nothing. */
+function retryAfterIn(text: string, status = 503) {
+  const headers = {'retry-after': text};
+  const read = statements.read(headers, NAMES, {}, status);
+  return {ms: read.retryAfter, isReadable: read.unreadable.length === 0};
+}
+
+// Guards against requests to a server that has asked for a time without any.
+test.test('the times that a 503 response asks for', () => {
+  const ms = (text: string) => retryAfterIn(text).ms;
+  assert.deepEqual([ms('2'), ms('0.25'), ms('0')], [2000, 250, 0]);
+  const date = new Date(Date.now() + 3000).toUTCString();
+  const untilMs = ms(date) ?? 0;
+  assert.ok(untilMs > 1500 && untilMs <= 3000, `${untilMs}`);
+  assert.equal(ms(new Date(Date.now() - 60_000).toUTCString()), 0);
+  assert.equal(ms('99999999'), statements.MAX_RETRY_AFTER_MS);
+});
+
+// Guards against a server that is left unused for a value that says nothing.
+test.test('times that cannot be read are ignored', () => {
+  for (const text of ['', '-1', 'soon', '1e3', '2, 3', 'NaN', '9'.repeat(99)]) {
+    assert.deepEqual(retryAfterIn(text), {ms: undefined, isReadable: false});
+  }
+  const other = {ms: undefined, isReadable: true};
+  for (const status of [200, 429, 500]) {
+    assert.deepEqual(retryAfterIn('x', status), other, String(status));
+  }
+});
+
+// Guards against a brittle server that is taken for a sound one for a bad value.
+test.test('values that state that a server is brittle', () => {
+  const read = (text: string, known?: number) =>
+    statements.read({'x-brittle': text}, NAMES, {brittle: known}).brittle;
+  assert.deepEqual([read('5'), read('0'), read('7, 3')], [5, 0, 3]);
+  assert.deepEqual([read('x'), read('-1'), read('x', 4)], [0, 0, 4]);
+  assert.equal(statements.read({}, NAMES, {brittle: 4}).brittle, undefined);
+});
--- a/packages/forwarding/src/upstream.test.ts
+++ b/packages/forwarding/src/upstream.test.ts
@@ -15,7 +15,10 @@
   signature: 'x-signature',
   notRun: 'x-not-run',
   load: 'x-load',
-  statements: {limit: 'x-limit', leaving: 'x-leaving'},
+  statements: {
+    ...{limit: 'x-limit', leaving: 'x-leaving'},
+    ...{brittle: 'x-brittle', retryAfter: 'retry-after'},
+  },
   lastEventId: 'last-event-id',
   reserved: [],
 };
--- a/packages/forwarding/src/upstream.ts
+++ b/packages/forwarding/src/upstream.ts
@@ -337,7 +337,8 @@
       return {...this.failure('wrong-server', 'not-run', detail), status, load};
     }
     const stated = statementReaders.read(
-      ...([response.headers, names.statements, outbound.known] as const),
+      ...([response.headers, names.statements] as const),
+      ...([outbound.known, status] as const),
     );
     const unreadableLoad = {header: names.load, text: loadText ?? ''};
     const statements = isReadable
--- /dev/null
+++ b/packages/gateway/src/attemptoutcomes.ts
@@ -0,0 +1,38 @@
+// What the end of an attempt tells a keeper about the backend server.
+
+import type * as decisions from '@banyanhall/decisions';
+import type * as forwarding from '@banyanhall/forwarding';
+
+/** The failures that a broken link of this host causes as well as a backend server. */
+export const LINK_FAILURES: ReadonlySet<forwarding.upstream.FailureCause> =
+  new Set([...(['reset', 'cancelled', 'broken-answer'] as const)]);
+
+/** The same for the link to a host that carries an attempt, of which nothing says that it is broken. */
+export const CARRIER_FAILURES: ReadonlySet<forwarding.upstream.FailureCause> =
+  new Set(['reset', 'cancelled'] as const);
+
+/** The outcome of an attempt, as reported to the keeper, by the cause of its failure. */
+export const OUTCOMES: Readonly<
+  Record<
+    forwarding.upstream.FailureCause,
+    (hasCrashed: boolean) => decisions.runner.Outcome
+  >
+> = {
+  'invalid-request': () => ({kind: 'cancelled'}),
+  'connect-failed': () => ({kind: 'unreachable'}),
+  reset: hasCrashed => ({kind: hasCrashed ? 'crashed' : 'failed'}),
+  'broken-answer': hasCrashed => ({kind: hasCrashed ? 'crashed' : 'failed'}),
+  // The caller is still connected: this host gave up the attempt for its silence.
+  cancelled: () => ({kind: 'silent'}),
+  'timed-out': () => ({kind: 'failed'}),
+  'foreign-answer': () => ({kind: 'failed'}),
+  refused: () => ({kind: 'not-admitted', isLeaving: false}),
+  'wrong-server': () => ({kind: 'not-admitted', isLeaving: true}),
+};
+
+/** The requests on a backend server, running and waiting, by its own load report. */
+export function inUseOf(
+  load: forwarding.loadreport.LoadReport | undefined,
+): number | undefined {
+  return load && load.running + load.waiting;
+}
--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -2,6 +2,8 @@
  * Sends an accepted request to backend servers, with retries, and relays the
  * response to the caller.
  */
+import * as timers from 'node:timers/promises';
+
 import * as decisions from '@banyanhall/decisions';
 import type * as crashesModule from '@banyanhall/fleet/crashes.js';
 import type * as slotsModule from '@banyanhall/fleet/slots.js';
@@ -10,6 +12,8 @@
 
 import type * as fleetlimits from './fleetlimits.js';
 import type * as callerresponses from './callerresponse.js';
+import * as attemptoutcomes from './attemptoutcomes.js';
+import * as backoffs from './backoffs.js';
 import * as directories from './directory.js';
 import type * as logs from './logs.js';
 import type * as metrics from './metrics.js';
@@ -29,6 +33,8 @@
 const MIN_RESPONSE_SILENCE_MS = 300;
 /** How long the repeat of a silent attempt may run beside it; then one of them is ended. */
 const MAX_OVERLAP_MS = 250;
+/** How long a request waits before it asks a keeper again that granted a slot on an excluded backend server. */
+const REGRANT_MS = 50;
 /** The minimum time before the deadline for a retry. */
 const MIN_RETRY_TIME_MS = 60;
 /** An attempt without a first byte for this long counts against the backend server even if it ends because the caller disconnected or the deadline passed. */
@@ -144,13 +150,13 @@
 
 /** Dispatches requests to backend servers and relays the responses. */
 export class Dispatcher {
-  private readonly unreadableLog: serverreports.UnreadableLog;
+  private readonly reports: serverreports.ServerReports;
 
   /** The number of slot requests so far. */
   private slotRequests = 0;
 
   constructor(private readonly options: DispatcherOptions) {
-    this.unreadableLog = new serverreports.UnreadableLog(options.log);
+    this.reports = new serverreports.ServerReports(options);
   }
 
   /**
@@ -249,6 +255,11 @@
     if (!this.options.shutdown.hasTimeFor(accepted)) {
       return this.giveUpForStop(progress);
     }
+    const {isTotal, firstMs} = this.reports.backoffs.in(pool);
+    if (isTotal) {
+      const detail = `${pool.backendServers.length} servers${this.reports.describe(pool)}`;
+      return this.giveUp(progress, backoffs.REASON, firstMs, detail);
+    }
     const isCounted = progress.attempts === 0 || progress.isRetryCounted;
     progress.isRetryCounted = false;
     if (!isCounted && !this.tryCountRetry(accepted, progress)) {
@@ -262,7 +273,7 @@
       if (!(error instanceof decisions.verdict.FailureError)) throw error;
       const {type, retryAfterMs} = error.failure;
       const waitedMs = this.nowMs - accepted.received.arrivedMs;
-      const detail = `tier ${accepted.tier}, ${pool.backendServers.length} servers, waited ${Math.round(waitedMs)} ms${this.describeLimits(pool)}`;
+      const detail = `tier ${accepted.tier}, ${pool.backendServers.length} servers, waited ${Math.round(waitedMs)} ms${this.reports.describe(pool)}`;
       if (signal.aborted) return this.endAborted(progress, signal, detail);
       return this.giveUp(progress, type, retryAfterMs, detail);
     }
@@ -284,6 +295,9 @@
         slots.done(grant.ticketId, {kind: 'not-admitted', isLeaving: true});
         return RETRY;
       }
+      if (this.reports.backoffs.remainingMs(entry) > 0) {
+        return this.returnSlot(accepted, progress, grant, slotRequest);
+      }
       const {isSuspect} = slotRequest;
       const placement = {grant, entry, isCandidate, isSuspect};
       return this.send(placement, accepted, caller, progress, signal);
@@ -303,6 +317,22 @@
     }
   }
 
+  /** Gives back a slot on a backend server that accepts nothing from this host now; the next slot request excludes the server. */
+  private async returnSlot(
+    accepted: requests.AcceptedRequest,
+    progress: Progress,
+    {ticketId, server}: slotsModule.Grant,
+    {excluded}: slotsModule.SlotRequest,
+  ): Promise<RetryDecision> {
+    const {slots, metrics} = this.options;
+    slots.giveBack(ticketId);
+    metrics.returnedSlots.inc({service: accepted.service});
+    progress.isRetryCounted = progress.attempts > 0;
+    // A keeper of an older build ignores the exclusion and would grant the slot again at once.
+    if (excluded?.includes(server.name)) await timers.setTimeout(REGRANT_MS);
+    return RETRY;
+  }
+
   /** Sends the next attempt to the backend server whose slot is held, and relays its response. */
   private async send(
     placement: Placement,
@@ -356,7 +386,7 @@
     signal: AbortSignal,
     onConnected?: () => void,
   ): Promise<forwarding.upstream.AttemptResult> {
-    const {dialect, upstream, log, metrics, statements} = this.options;
+    const {dialect, upstream, log} = this.options;
     const {received, route} = accepted;
     const {names} = dialect;
     const {entry, grant} = attempt;
@@ -368,9 +398,7 @@
     if (progress.lastEventId !== undefined) {
       addedHeaders[names.lastEventId] = progress.lastEventId;
     }
-    const start = directories.startOf(entry);
-    const limitPerS = statements.valueOf(start, 'limit');
-    const sentRevisions = statements.revisionsOf(start);
+    const known = this.reports.beforeSend(entry);
     log.event('sent', received.id, {
       server: entry.id,
       address: entry.address,
@@ -380,9 +408,8 @@
       leftMs,
       waitedMs: Math.round(attempt.sentMs - received.arrivedMs),
       heldBackMs: grant.heldBackMs || undefined,
-      limitPerS,
+      ...known.logFields,
     });
-    if (limitPerS !== undefined) metrics.limitedSends.inc({server: entry.id});
     const result = await upstream.send(
       {
         address: entry.address,
@@ -392,7 +419,7 @@
         body: received.body,
         requestId: received.id,
         isRepeat: attempt.isRepeat,
-        known: {limit: limitPerS},
+        known: known.statements,
         onConnected: isCarried => {
           attempt.way.isCarried = isCarried;
           onConnected?.();
@@ -402,12 +429,7 @@
       },
       AbortSignal.any([signal, attempt.cut.signal]),
     );
-    if (result.statements) {
-      this.unreadableLog.report(entry, result.statements.unreadable);
-      statements.onAnswer(
-        ...([received.id, start, sentRevisions, result.statements] as const),
-      );
-    }
+    this.reports.afterSend(entry, received.id, known, result);
     return result;
   }
 
@@ -504,6 +526,7 @@
       version: '',
       isSuspect: this.standingOf(accepted).status !== 'clear',
       avoid: progress.triedServers,
+      excluded: this.reports.backoffs.in(pool).excluded,
     };
   }
 
@@ -632,6 +655,7 @@
     const {status} = this.standingOf(accepted);
     return (
       !progress.triedServers.includes(entry.id) &&
+      this.reports.backoffs.remainingMs(entry) === 0 &&
       (status === 'clear' || (status === 'suspect' && isSuspect)) &&
       this.nowMs < this.callerGivesUpMs(accepted, progress) &&
       this.couldRetryAfterRunning(accepted, progress)
@@ -659,19 +683,6 @@
     return relayedMs + route.callerPatienceMs;
   }
 
-  /** Describes the limits in a pool, for the log; empty if no backend server states one. */
-  private describeLimits({backendServers}: decisions.config.Service): string {
-    const limits = backendServers.flatMap(({name}) => {
-      const entry = this.options.directory.entry(name);
-      if (!entry) return [];
-      const start = directories.startOf(entry);
-      return this.options.statements.valueOf(start, 'limit') ?? [];
-    });
-    if (limits.length === 0) return '';
-    const sumPerS = limits.reduce((sum, limit) => sum + limit, 0);
-    return `, ${limits.length} of them limited to ${sumPerS.toFixed(1)} requests/s together`;
-  }
-
   /** Relays a response: event streams chunk by chunk, others once their body is complete. */
   private relay(
     accepted: requests.AcceptedRequest,
@@ -731,7 +742,7 @@
       outputTokens: directories.PLAIN_REQUEST_TOKENS,
       firstTokenMs: 0,
       durationMs,
-      inUse: inUseOf(head.load),
+      inUse: attemptoutcomes.inUseOf(head.load),
     };
     this.options.slots.done(
       attempt.grant.ticketId,
@@ -741,7 +752,10 @@
     if (!isFailure) this.recordCompletion(accepted);
     if (isFailure) {
       progress.mayHaveRun = true;
-      progress.isRetryCounted = this.tryCountRetry(accepted, progress);
+      // While no server accepts requests, this response is worth more than a rejection.
+      progress.isRetryCounted =
+        this.hasAcceptingServer(accepted, attempt) &&
+        this.tryCountRetry(accepted, progress);
       if (progress.isRetryCounted) return RETRY;
     }
     if (caller.isStarted) {
@@ -851,7 +865,7 @@
         outputTokens,
         firstTokenMs,
         durationMs: nowMs - attempt.sentMs,
-        inUse: inUseOf(head.load),
+        inUse: attemptoutcomes.inUseOf(head.load),
       },
     });
     this.recordCompletion(accepted);
@@ -922,7 +936,9 @@
     if (hasCrashed) crashes.recordCrash(entry.id);
     slots.done(
       grant.ticketId,
-      isInDoubt ? {kind: 'cancelled'} : OUTCOMES[failure.cause](hasCrashed),
+      isInDoubt
+        ? {kind: 'cancelled'}
+        : attemptoutcomes.OUTCOMES[failure.cause](hasCrashed),
     );
     if (failure.cause === 'wrong-server') {
       directory.onServerEntry(entry.id, undefined);
@@ -943,8 +959,10 @@
   ): boolean {
     const {paths} = this.options;
     if (cause === 'connect-failed') return !paths.isUnreachable(entry.address);
-    if (way.isCarried) return CARRIER_FAILURES.has(cause);
-    return LINK_FAILURES.has(cause) && paths.isCut(entry.address);
+    if (way.isCarried) return attemptoutcomes.CARRIER_FAILURES.has(cause);
+    return (
+      attemptoutcomes.LINK_FAILURES.has(cause) && paths.isCut(entry.address)
+    );
   }
 
   /** True when a request may be retried now; the retry is then counted in the budget. */
@@ -956,6 +974,15 @@
     return this.options.fleetLimits.tryCountRetry(accepted.service);
   }
 
+  /** True if some backend server of the service accepts requests from this host. */
+  private hasAcceptingServer(
+    {service}: requests.AcceptedRequest,
+    {isCandidate}: Attempt,
+  ): boolean {
+    const pool = this.options.directory.pool(service, isCandidate);
+    return pool !== undefined && !this.reports.backoffs.in(pool).isTotal;
+  }
+
   private isRetryAllowed(
     accepted: requests.AcceptedRequest,
     progress: Progress,
@@ -1117,42 +1144,6 @@
   }
 }
 
-/** The failures that a broken link of this host causes as well as a backend server. */
-const LINK_FAILURES: ReadonlySet<forwarding.upstream.FailureCause> = new Set([
-  ...(['reset', 'cancelled', 'broken-answer'] as const),
-]);
-
-/** The same for the link to a host that carries an attempt, of which nothing says that it is broken. */
-const CARRIER_FAILURES: ReadonlySet<forwarding.upstream.FailureCause> = new Set(
-  ['reset', 'cancelled'] as const,
-);
-
-/** The outcome of an attempt, as reported to the keeper, by the cause of its failure. */
-const OUTCOMES: Readonly<
-  Record<
-    forwarding.upstream.FailureCause,
-    (hasCrashed: boolean) => decisions.runner.Outcome
-  >
-> = {
-  'invalid-request': () => ({kind: 'cancelled'}),
-  'connect-failed': () => ({kind: 'unreachable'}),
-  reset: hasCrashed => ({kind: hasCrashed ? 'crashed' : 'failed'}),
-  'broken-answer': hasCrashed => ({kind: hasCrashed ? 'crashed' : 'failed'}),
-  // The caller is still connected: this host gave up the attempt for its silence.
-  cancelled: () => ({kind: 'silent'}),
-  'timed-out': () => ({kind: 'failed'}),
-  'foreign-answer': () => ({kind: 'failed'}),
-  refused: () => ({kind: 'not-admitted', isLeaving: false}),
-  'wrong-server': () => ({kind: 'not-admitted', isLeaving: true}),
-};
-
-/** The requests on a backend server, running and waiting, by its own load report. */
-function inUseOf(
-  load: forwarding.loadreport.LoadReport | undefined,
-): number | undefined {
-  return load && load.running + load.waiting;
-}
-
 /** Throws unless an event with this id may go on with a stream after the event `after`. */
 function requireFollowing(id: string | undefined, after: string): void {
   if (forwarding.events.mayFollow(id, after)) return;
--- a/packages/gateway/src/host.ts
+++ b/packages/gateway/src/host.ts
@@ -34,6 +34,7 @@
 import * as metricsModule from './metrics.js';
 import * as requests from './request.js';
 import * as rollouts from './rollouts.js';
+import * as serverstatements from './serverstatements.js';
 import * as shutdowns from './shutdown.js';
 import * as suspectrejections from './suspectrejections.js';
 import * as tunnelsModule from './tunnels.js';
@@ -112,14 +113,6 @@
   readonly onListenerEnded?: (reason: string) => void;
 }
 
-/** What a host does with a change of each kind of statement. */
-type StatementHandlers = Readonly<
-  Record<
-    decisions.statement.StatementKind,
-    (change: statementsModule.StatementChange) => void
-  >
->;
-
 interface Part {
   start(): void;
   stop(): void;
@@ -163,10 +156,7 @@
   private configurationSource = '';
   private isReadyLogged = false;
   private readonly cutOffHosts = new addresses.CutOffHosts(this.clock);
-  private readonly statementHandlers: StatementHandlers = {
-    limit: change => this.onLimit(change),
-    leaving: change => this.onLeaving(change),
-  };
+  private readonly serverStatements: serverstatements.ServerStatements;
 
   constructor(private readonly options: HostOptions) {
     const {settings, log, dialect, metrics} = options;
@@ -257,6 +247,8 @@
       // Backend servers that leave are removed from the directory instead.
       serverList: {list: () => Promise.resolve([])},
       limitPerSOf: server => this.ownLimitPerSOf(server),
+      brittlePartOf: server =>
+        this.serverStatements.isBrittle(server) ? this.members.part : undefined,
     });
     this.slots = new slotsModule.Slots({
       ...{host, region, zone, clock, router, timeline, config, serving},
@@ -265,6 +257,7 @@
           ...{region, random},
           heldOn: server => this.slots.heldOn(server),
           limitPerSOf: server => this.limitPerSOf(server),
+          isBrittle: server => this.serverStatements.isBrittle(server),
         }),
       onUnanswered: keeper => this.members.probeUnresponsive(keeper),
     });
@@ -272,12 +265,17 @@
       ...{host, clock, router, timeline},
       targets: except => this.members.gossipTargets(except),
     });
+    this.serverStatements = new serverstatements.ServerStatements({
+      ...{clock, log, metrics, directory, statements: () => this.statements},
+      onLimit: server => this.keeper.onLimit(server),
+      limitPerSOf: server => this.limitPerSOf(server),
+    });
     this.statements = new statementsModule.Statements({
       ...{host, clock, router},
       targets: except => this.members.gossipTargets(except),
       keepersOf: start => this.keepersOf(start),
       isInUse: start => directory.entryOfStart(start) !== undefined,
-      onChange: change => this.onStatement(change),
+      onChange: change => this.serverStatements.onChange(change),
     });
     this.fleetLimits = new fleetlimits.FleetLimits({
       ...{host, clock, random, settings: settings.fleetLimits},
@@ -750,43 +748,6 @@
     this.upstream.closeIdle(address);
   }
 
-  /** Applies and logs a change of what a backend server states, by kind. */
-  private onStatement(change: statementsModule.StatementChange): void {
-    this.statementHandlers[change.kind](change);
-  }
-
-  /** Stops using a backend server that leaves. */
-  private onLeaving(change: statementsModule.StatementChange): void {
-    const {server: start, after, from, requestId} = change;
-    if (after === undefined) return;
-    const {log, metrics} = this.options;
-    const server = directories.idOfStart(start);
-    log.event('server-leaving', requestId, {server, from: from || 'answer'});
-    metrics.leavingServers.inc();
-    this.directory.onLeaving(start);
-  }
-
-  /** Applies and logs a change of the limit of a backend server. */
-  private onLimit(change: statementsModule.StatementChange): void {
-    const {server: start, before, after, from, requestId, ageMs} = change;
-    const {log, metrics} = this.options;
-    const server = directories.idOfStart(start);
-    log.event('server-limit', requestId, {
-      ...{server, limitPerS: after, before},
-      change: limitChange(before, after),
-      from: from || 'answer',
-      beforeAgeMs: Math.round(ageMs),
-    });
-    this.keeper.onLimit(server);
-    const limitPerS = this.limitPerSOf(server);
-    if (limitPerS !== undefined) {
-      metrics.serverLimits.set({server}, limitPerS);
-      return;
-    }
-    metrics.serverLimits.remove({server});
-    metrics.limitedSends.remove({server});
-  }
-
   private respondWithAddresses(
     target: string,
     response: http.ServerResponse,
@@ -834,6 +795,7 @@
     metrics.setGauge('buffered_bytes_limit', limitHelp, limitBytes);
     const endedHelp = 'Requests ended for room in the buffers since the start.';
     metrics.setGauge('requests_without_room', endedHelp, ended);
+    this.serverStatements.setGauges();
     const refused = this.crashes.refusedParts.length;
     metrics.setGauge('refused_parts', 'Prompt parts refused.', refused);
     const {lowestTokens} = this.allowances;
@@ -903,14 +865,6 @@
   crash: 'suspect',
 };
 
-function limitChange(
-  before: number | undefined,
-  after: number | undefined,
-): 'stated' | 'changed' | 'lifted' {
-  if (after === undefined) return 'lifted';
-  return before === undefined ? 'stated' : 'changed';
-}
-
 const EVENT_BY_RESULT: Readonly<
   Record<dispatchers.DispatchResult['kind'], logs.LogEvent>
 > = {
--- a/packages/gateway/src/logs.ts
+++ b/packages/gateway/src/logs.ts
@@ -19,6 +19,8 @@
   | 'server-health'
   | 'server-limit'
   | 'server-leaving'
+  | 'server-brittle'
+  | 'server-backoff'
   | 'link-cut'
   | 'link-restored'
   | 'host'
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -71,6 +71,11 @@
     'Starts of backend servers that stated that they leave.',
     [],
   );
+  readonly returnedSlots = this.counter(
+    'banyanhall_returned_slots_total',
+    'Slots given back as their backend server accepts nothing from this host for a time, by service.',
+    ['service'],
+  );
   private readonly gauges = new Map<string, prom.Gauge>();
 
   /** Sets the gauge `banyanhall_<name>`, creating it with the text `help` on first use. */
--- a/packages/gateway/src/request.test.ts
+++ b/packages/gateway/src/request.test.ts
@@ -16,7 +16,10 @@
     signature: 'x-signature',
     notRun: 'x-not-run',
     load: 'x-load',
-    statements: {limit: 'x-limit', leaving: 'x-leaving'},
+    statements: {
+      ...{limit: 'x-limit', leaving: 'x-leaving'},
+      ...{brittle: 'x-brittle', retryAfter: 'retry-after'},
+    },
     lastEventId: 'last-event-id',
     reserved: ['x-reserved'],
   },
--- a/packages/peers/src/messages.test.ts
+++ b/packages/peers/src/messages.test.ts
@@ -19,6 +19,7 @@
   firstWithinMs: 0,
   onTimeWithinMs: 0,
   avoid: [],
+  excluded: [],
   urgency: 0,
 };
 
