--- a/packages/decisions/src/runner.ts
+++ b/packages/decisions/src/runner.ts
@@ -2,6 +2,7 @@
 import * as pace from './pace.js';
 import * as prefillqueue from './prefillqueue.js';
 import * as prefixcache from './prefixcache.js';
+import * as regions from './regions.js';
 import * as slowdowns from './slowdown.js';
 import * as startrates from './startrate.js';
 import * as tickets from './ticket.js';
@@ -18,9 +19,18 @@
   'not-admitted': 500,
   unreachable: 1000,
   crashed: 2000,
+  broken: 2000,
   silent: 5000,
 } as const;
 
+/**
+ * After this many attempts in a row that broke off without an answer, a runner is
+ * `down`. A backend server that resets what it gets frees its slots at once, so
+ * it would otherwise draw the requests that wait for room elsewhere. Fewer would
+ * also put down a runner on which one request of many fails.
+ */
+const MAX_BROKEN_IN_A_ROW = 3;
+
 /** How long a runner stays `leaving` after the last report that it leaves, in milliseconds. */
 const LEAVING_HOLD_MS = 5000;
 
@@ -30,7 +40,8 @@
 /**
  * The result of an attempt. A `not-admitted` attempt was refused by the backend
  * server, and a `silent` one got no answer in time. A `failed` attempt ended
- * with an error, while a `crashed` one shows that the backend server is gone.
+ * with an error, which `isBroken` if the connection broke off instead of
+ * bringing an answer, while a `crashed` one shows that the backend server is gone.
  */
 export type Outcome =
   | {readonly kind: 'completed'; readonly measured: pace.Measurement}
@@ -39,7 +50,7 @@
   | {readonly kind: 'unreachable'}
   | {readonly kind: 'crashed'}
   | {readonly kind: 'silent'}
-  | {readonly kind: 'failed'};
+  | {readonly kind: 'failed'; readonly isBroken?: boolean};
 
 /** The time over which a reported number of foreign requests (those not granted by this cell) decays linearly to zero, in milliseconds. */
 const FOREIGN_DECAY_MS = 1500;
@@ -66,6 +77,8 @@
   readonly versions: readonly string[];
   readonly state: RunnerState;
   readonly consecutiveFailures: number;
+  /** The attempts that broke off since the last one that brought an answer. */
+  readonly brokenInARow: number;
   /** When a runner that is down accepts a probe. */
   readonly retryAtMs: number;
   /** When the runner was last reported as leaving. */
@@ -134,6 +147,7 @@
       versions,
       state: 'live',
       consecutiveFailures: 0,
+      brokenInARow: 0,
       retryAtMs: 0,
       leavingAtMs: 0,
       pace: server.expectedPace ?? pace.INITIAL_PACE,
@@ -220,9 +234,10 @@
     return state === 'down' && nowMs >= retryAtMs && running === 0;
   }
 
-  /** Returns true if the runner serves the ticket's version and host; one without known versions serves all. */
+  /** Returns true if the runner is in a region that the ticket may use, serves its version and accepts requests of its host; one without known versions serves all. */
   serves(ticket: tickets.Ticket): boolean {
-    const {versions} = this.fields;
+    const {versions, server} = this.fields;
+    if (!regions.isAllowed(ticket.allowedRegions, server.region)) return false;
     if (ticket.excluded?.includes(this.name)) return false;
     return (
       ticket.version === '' ||
@@ -491,6 +506,15 @@
     });
   }
 
+  /** Counts an attempt that broke off or, if not `isBroken`, ended with an error that the backend server sent. */
+  recordFailure(isBroken: boolean, nowMs: number): Runner {
+    const brokenInARow = isBroken ? this.fields.brokenInARow + 1 : 0;
+    const counted = this.with({brokenInARow}).withFailureSample(true);
+    return brokenInARow >= MAX_BROKEN_IN_A_ROW
+      ? counted.markDown('broken', nowMs)
+      : counted;
+  }
+
   /** Adds the success or failure of an attempt to the failure rate. */
   withFailureSample(isFailure: boolean): Runner {
     const {failureRate} = this.fields;
@@ -532,6 +556,7 @@
       progressMs: nowMs,
       state: this.fields.state === 'leaving' ? 'leaving' : 'live',
       consecutiveFailures: 0,
+      brokenInARow: 0,
       completions: this.fields.completions + 1,
       pace: pace.updatePace(this.fields.pace, measured),
     });
@@ -550,5 +575,6 @@
   crashed: (runner, _, nowMs) => runner.markDown('crashed', nowMs),
   silent: (runner, _, nowMs) =>
     runner.markDown('silent', nowMs).withFailureSample(true),
-  failed: runner => runner.withFailureSample(true),
+  failed: (runner, {isBroken = false}, nowMs) =>
+    runner.recordFailure(isBroken, nowMs),
 };
--- a/packages/fleet/src/fallback.ts
+++ b/packages/fleet/src/fallback.ts
@@ -1,4 +1,4 @@
-import type * as decisions from '@banyanhall/decisions';
+import * as decisions from '@banyanhall/decisions';
 
 import type * as slotsModule from './slots.js';
 
@@ -16,9 +16,10 @@
 
 /**
  * Chooses the backend server of whose slots this host holds the smallest
- * fraction; used while the keeper does not answer. None for a suspect request,
- * and none that states a limit or that it is brittle, since only the keeper
- * knows what else runs there and what other hosts send.
+ * fraction, in the regions that the request may use; used while the keeper does
+ * not answer. None for a suspect request, and none that states a limit or that
+ * it is brittle, since only the keeper knows what else runs there and what
+ * other hosts send.
  */
 export function chooseServer(
   slotRequest: slotsModule.SlotRequest,
@@ -26,9 +27,11 @@
 ): decisions.config.BackendServer | undefined {
   if (slotRequest.isSuspect) return undefined;
   const {region, random, heldOn, limitPerSOf, isBrittle} = options;
-  const scored = slotRequest.service.backendServers
+  const {service, allowedRegions, excluded} = slotRequest;
+  const scored = decisions.regions
+    .only(service.backendServers, allowedRegions)
     .filter(({name}) => limitPerSOf(name) === undefined && !isBrittle?.(name))
-    .filter(({name}) => !slotRequest.excluded?.includes(name))
+    .filter(({name}) => !excluded?.includes(name))
     .map(server => ({
       server,
       held:
--- a/packages/fleet/src/feedrelay.ts
+++ b/packages/fleet/src/feedrelay.ts
@@ -176,11 +176,21 @@
     }
   }
 
+  /** Takes a batch of changes after `position` that a watcher has passed on, if there is one; for a host that the store does not answer. */
+  take(name: string, position: StorePosition): FeedBatch | undefined {
+    const table = this.table(name);
+    table.batches = table.batches.filter(({to}) => to.isAfter(position));
+    return table.batches.find(
+      ({from}) => from.isOfSameEraAs(position) && !from.isAfter(position),
+    );
+  }
+
   /** Passes on a batch that this host has read from the store, if it is a watcher. */
   publish(name: string, batch: FeedBatch): void {
     const table = this.table(name);
     usePosition(table, batch.to);
     table.readPosition = batch.to;
+    table.batches = table.batches.filter(({to}) => to.isAfter(batch.to));
     table.answeredMs = this.nowMs;
     if (this.isWatcher) this.sendToFollowers(name, batch, true);
   }
@@ -317,7 +327,10 @@
     const watchers = this.currentWatchers();
     for (const member of serving()) {
       if (!isSmall && member.zone !== zone) continue;
-      if (watchers.includes(member.host)) continue;
+      // Other watchers read the store themselves. If it does not answer them they need all batches, as each one follows on another.
+      const isHeartbeat = body.fromRevision === toRevision;
+      if (watchers.includes(member.host) && isHeartbeat) continue;
+      if (member.host === this.options.host) continue;
       send(member.host, {kind: 'feed', body});
     }
   }
--- a/packages/fleet/src/keeper.ts
+++ b/packages/fleet/src/keeper.ts
@@ -35,6 +35,11 @@
   readonly limitPerSOf?: (server: string) => number | undefined;
   /** The part of the slots of a backend server that may be used since it states that it is brittle; undefined if it does not. */
   readonly brittlePartOf?: (server: string) => number | undefined;
+  /** Called with the outcome of each attempt at a backend server, before its slot is released. */
+  readonly onOutcome?: (
+    server: string,
+    outcome: decisions.runner.Outcome,
+  ) => void;
 }
 
 type EffectHandlers = {
@@ -104,6 +109,9 @@
   /** Releases a slot and applies the outcome of the attempt that used it. */
   onDone(_: string, done: peers.messages.MessageBodies['done']): void {
     const outcome = outcomeOf(done);
+    const running = this.cells.get(done.cell)?.cell.running ?? [];
+    const grant = running.find(({ticket}) => ticket.id === done.ticketId);
+    if (grant) this.options.onOutcome?.(grant.runner, outcome);
     this.apply(done.cell, {kind: 'done', ticketId: done.ticketId, outcome});
   }
 
@@ -210,10 +218,16 @@
   }
 
   private configure(name: string, kept: KeptCell): void {
+    const servers = this.serversOf(name);
+    const limitPerSByServer = new Map(
+      servers.flatMap(server => {
+        const limitPerS = this.options.limitPerSOf?.(server.name);
+        return limitPerS === undefined ? [] : [[server.name, limitPerS]];
+      }),
+    );
     const event = {
       kind: 'configure' as const,
-      servers: this.serversOf(name),
-      versionsByServer: new Map(),
+      ...{servers, limitPerSByServer, versionsByServer: new Map()},
     };
     this.apply(name, event);
     for (const runner of kept.cell.runners) this.updateLimit(name, runner);
@@ -243,7 +257,8 @@
     if (event.kind !== 'ask') return;
     const {ticket} = event;
     const reason = 'no-runner';
-    const refusal = {kind: 'refuse' as const, ticket, reason, retryAfterMs: 0};
+    const retryAfterMs = decisions.cell.NO_RUNNER_RETRY_MS;
+    const refusal = {kind: 'refuse' as const, ticket, reason, retryAfterMs};
     this.effectHandlers.refuse(name, {...refusal, reason}, 0);
   }
 
@@ -256,6 +271,7 @@
       ...wire,
       host,
       tier: wire.tier as decisions.config.Tier,
+      allowedRegions: decisions.regions.fromWire(wire),
       deadlineMs: nowMs + wire.remainingMs,
       firstByMs: nowMs + wire.firstWithinMs,
       onTimeByMs: nowMs + wire.onTimeWithinMs,
@@ -347,5 +363,6 @@
     return {kind, measured};
   }
   if (kind === 'not-admitted') return {kind, isLeaving: done.isLeaving};
+  if (kind === 'failed') return {kind, isBroken: done.isBroken};
   return {kind};
 }
--- a/packages/fleet/src/slots.ts
+++ b/packages/fleet/src/slots.ts
@@ -17,6 +17,9 @@
 /** The most cells that a request of the lowest tier tries; those of higher tiers try all before they are refused. */
 const LOWEST_TIER_MAX_CELLS = 2;
 
+/** The retry delay of a request whose keeper granted it only slots in regions that it may not use. */
+const OUTSIDE_RETRY_MS = 1000;
+
 /** Tiers are numbered from 1, the highest. */
 const LOWEST_TIER = decisions.config.TIERS.length;
 
@@ -44,6 +47,8 @@
   readonly isSuspect: boolean;
   /** True if the request goes on without a slot, so that others are not refused for it; undefined means false. */
   readonly isOptional?: boolean;
+  /** The regions of the backend servers that may be used; undefined means all, an empty list none. */
+  readonly allowedRegions?: readonly string[];
   /** Backend servers where earlier attempts failed. */
   readonly avoid?: readonly string[];
   /** Backend servers that may not be used, since they accept nothing from this host now. */
@@ -132,6 +137,10 @@
     ),
 };
 
+function noRunner(): decisions.verdict.Failure {
+  return REFUSAL_FAILURES['no-runner'](decisions.cell.NO_RUNNER_RETRY_MS);
+}
+
 /** Acquires slots from the keepers of cells for the requests of this host, and tracks those it holds. */
 export class Slots {
   private readonly pending = new Map<string, PendingRequest>();
@@ -173,7 +182,7 @@
     }
     const cells = this.cellsFor(slotRequest);
     if (cells.length === 0) {
-      return Promise.reject(failed(REFUSAL_FAILURES['no-runner'](0)));
+      return Promise.reject(failed(noRunner()));
     }
     return new Promise((resolve, reject) => {
       const onAbort = () => {
@@ -230,6 +239,7 @@
         ticketId,
         outcome: outcome.kind,
         isLeaving: outcome.kind === 'not-admitted' && outcome.isLeaving,
+        isBroken: outcome.kind === 'failed' && outcome.isBroken === true,
         prefillTokens: Math.round(measured.prefillTokens),
         outputTokens: Math.round(measured.outputTokens),
         firstTokenMs: Math.round(measured.firstTokenMs),
@@ -271,9 +281,13 @@
       this.options.router.send(from, {kind: 'withdraw', body});
       return;
     }
-    this.pending.delete(grant.ticketId);
     const {slotRequest, cell} = pending;
     const server = this.findServer(slotRequest.service, grant.runner);
+    const {allowedRegions} = slotRequest;
+    if (server && !decisions.regions.isAllowed(allowedRegions, server.region)) {
+      return this.returnGrant(pending, server);
+    }
+    this.pending.delete(grant.ticketId);
     const grantedMs = this.options.clock.monotonicMs();
     this.held.set(grant.ticketId, {
       cell,
@@ -286,7 +300,28 @@
       return pending.resolve({ticketId, server, heldBackMs});
     }
     this.done(grant.ticketId, {kind: 'cancelled'});
-    pending.reject(failed(REFUSAL_FAILURES['no-runner'](0)));
+    pending.reject(failed(noRunner()));
+  }
+
+  /**
+   * Gives back a grant in a region that the request may not use, as of a keeper
+   * of an older version, and assigns a slot without the keeper, which would
+   * grant the same again.
+   */
+  private returnGrant(
+    pending: PendingRequest,
+    {name, region}: decisions.config.BackendServer,
+  ): void {
+    const {slotRequest, keeper} = pending;
+    const {requestId: ticketId, allowedRegions} = slotRequest;
+    this.options.timeline.record('outside-regions', ticketId, {
+      ...{keeper, server: name, region},
+      allowedRegions: (allowedRegions ?? []).join(' '),
+    });
+    if (this.assignWithoutKeeper(pending)) return;
+    this.withdraw(ticketId);
+    const failure = REFUSAL_FAILURES.overloaded(OUTSIDE_RETRY_MS);
+    pending.reject(failed(failure));
   }
 
   /** Finds a backend server, which may have been added to the service while the request waited. */
@@ -333,8 +368,9 @@
     pending.reject(failed(REFUSAL_FAILURES[reason](refuse.retryAfterMs)));
   }
 
-  /** After a membership change, reports held slots to new keepers and sends waiting slot requests to them. */
+  /** After a change of the members or of the backend servers, reports held slots to new keepers and sends waiting slot requests to them. */
   onMembers(): void {
+    this.moveFromEmptyCells();
     for (const service of this.options.config().list('service')) {
       for (const key of decisions.celltopology.cellsOf(service)) {
         this.refreshKeeper(key);
@@ -349,6 +385,26 @@
     }
   }
 
+  /** Sends the slot requests that wait in a cell without backend servers to another cell, or refuses them if there is none. */
+  private moveFromEmptyCells(): void {
+    for (const pending of [...this.pending.values()]) {
+      const {slotRequest, cell} = pending;
+      const {name} = slotRequest.service;
+      const service = this.options.config().get('service', name);
+      const key = decisions.celltopology.parseCellName(cell);
+      const isEmpty =
+        !service ||
+        decisions.celltopology.serversInCell(service, key).length === 0;
+      if (!isEmpty) continue;
+      this.withdraw(slotRequest.requestId);
+      const moved = service && {...slotRequest, service};
+      const [next] = moved ? this.cellsFor(moved) : [];
+      if (moved && next !== undefined) {
+        this.ask({...pending, slotRequest: moved, cell: next});
+      } else pending.reject(failed(noRunner()));
+    }
+  }
+
   private refreshKeeper(key: decisions.celltopology.CellKey): void {
     const cell = decisions.celltopology.cellName(key);
     const keeper = decisions.celltopology.keeperOf(key, this.options.serving());
@@ -457,17 +513,20 @@
     this.reportedWaits.set(cell, {waitMs, atMs});
   }
 
-  /** Returns the cells that a request may use, in order. Suspect requests all use the same one, which runs one at a time. */
-  private cellsFor({service, isSuspect}: SlotRequest): readonly string[] {
-    if (!isSuspect) return this.cellsByWait(service);
-    const [first] = decisions.celltopology.cellsOf(service);
-    return [decisions.celltopology.cellName(first)];
+  /** Returns the cells that a request may use, in order. Suspect requests of the same regions all use the same one, which runs one at a time. */
+  private cellsFor(slotRequest: SlotRequest): readonly string[] {
+    const {service, isSuspect, allowedRegions} = slotRequest;
+    const cells = decisions.regions.cellsIn(service, allowedRegions);
+    if (!isSuspect) return this.cellsByWait(cells);
+    return cells.slice(0, 1).map(decisions.celltopology.cellName);
   }
 
-  /** Returns the cells of a service by reported wait, shortest first; cells in other zones get a penalty. */
-  private cellsByWait(service: decisions.config.Service): readonly string[] {
+  /** Returns cells by reported wait, shortest first; cells in other zones get a penalty. */
+  private cellsByWait(
+    cells: readonly decisions.celltopology.CellKey[],
+  ): readonly string[] {
     const nowMs = this.options.clock.monotonicMs();
-    const scored = decisions.celltopology.cellsOf(service).map(key => {
+    const scored = cells.map(key => {
       const cell = decisions.celltopology.cellName(key);
       const reported = this.reportedWaits.get(cell);
       const isKnown = reported && nowMs - reported.atMs < REPORTED_WAIT_TTL_MS;
@@ -502,6 +561,7 @@
       excluded: slotRequest.excluded ?? [],
       urgency: slotRequest.urgency ?? 0,
       region: this.options.region,
+      ...decisions.regions.toWire(slotRequest.allowedRegions),
     };
   }
 }
--- a/packages/gateway/src/backoffs.ts
+++ b/packages/gateway/src/backoffs.ts
@@ -1,19 +1,20 @@
 // The backend servers that accept nothing from this host for a time, by the
 // Retry-After of their 503 responses.
 
-import type * as decisions from '@banyanhall/decisions';
+import * as decisions from '@banyanhall/decisions';
 import type * as statementsModule from '@banyanhall/fleet/statements.js';
 
 import * as directories from './directory.js';
+import type * as requests from './request.js';
 
 /** The reason of a rejection while no backend server of a service accepts requests from this host. */
 export const REASON = 'server-backoff';
 
-/** The part of a pool that accepts nothing from this host now. */
+/** The part of what a request may use of a pool that accepts nothing from this host now. */
 export interface PoolBackoff {
   /** The ids of these backend servers. */
   readonly excluded: readonly string[];
-  /** True if all backend servers of the pool are among them. */
+  /** True if all backend servers of the pool that the request may use are among them. */
   readonly isTotal: boolean;
   /** The time until the first of them accepts requests again, in milliseconds; 0 if there are none. */
   readonly firstMs: number;
@@ -38,9 +39,14 @@
     return Math.max(0, untilMs - clock.monotonicMs());
   }
 
-  /** Returns which backend servers of a pool accept nothing from this host now. */
-  in(pool: Pick<decisions.config.Service, 'backendServers'>): PoolBackoff {
-    const {backendServers} = pool;
+  /** Returns which backend servers of a pool, in the regions that a request may use, accept nothing from this host now. */
+  in(
+    pool: Pick<decisions.config.Service, 'backendServers'>,
+    {allowedRegions}: Pick<requests.AcceptedRequest, 'allowedRegions'>,
+  ): PoolBackoff {
+    const backendServers = decisions.regions.only(
+      ...([pool.backendServers, allowedRegions] as const),
+    );
     const excluded: string[] = [];
     let firstMs = Infinity;
     for (const {name} of backendServers) {
--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -10,15 +10,18 @@
 import type * as statementsModule from '@banyanhall/fleet/statements.js';
 import * as forwarding from '@banyanhall/forwarding';
 
+import type * as coldservers from './coldservers.js';
 import type * as fleetlimits from './fleetlimits.js';
 import type * as callerresponses from './callerresponse.js';
-import * as attemptoutcomes from './attemptoutcomes.js';
 import * as backoffs from './backoffs.js';
 import * as directories from './directory.js';
+import * as failures from './failures.js';
 import type * as logs from './logs.js';
 import type * as metrics from './metrics.js';
+import * as regionsModule from './regions.js';
 import * as requests from './request.js';
 import type * as rollouts from './rollouts.js';
+import type * as serverlimits from './serverlimits.js';
 import * as shutdowns from './shutdown.js';
 import * as serverreports from './serverreports.js';
 import * as silences from './silence.js';
@@ -31,8 +34,6 @@
 /** The time without a response after which an idempotent request is to be retried, as a multiple of its latency objective. */
 const RESPONSE_SILENCE_FACTOR = 2.5;
 const MIN_RESPONSE_SILENCE_MS = 300;
-/** How long the repeat of a silent attempt may run beside it; then one of them is ended. */
-const MAX_OVERLAP_MS = 250;
 /** How long a request waits before it asks a keeper again that granted a slot on an excluded backend server. */
 const REGRANT_MS = 50;
 /** The minimum time before the deadline for a retry. */
@@ -61,8 +62,11 @@
   readonly slots: slotsModule.Slots;
   readonly crashes: crashesModule.Crashes;
   readonly statements: statementsModule.Statements;
+  readonly limits: serverlimits.ServerLimits;
+  readonly cold: coldservers.ColdServers;
   readonly fleetLimits: fleetlimits.FleetLimits;
   readonly rollouts: rollouts.Rollouts;
+  readonly regions: regionsModule.Regions;
   readonly shutdown: shutdowns.Shutdown;
   readonly log: logs.Log;
   readonly metrics: metrics.Metrics;
@@ -148,6 +152,11 @@
 
 const RETRY: RetryDecision = {kind: 'again'};
 
+/** The outcome of a slot that was not used. */
+const CANCELLED: decisions.runner.Outcome = {kind: 'cancelled'};
+/** The outcome of a slot whose backend server left or was evacuated before the send. */
+const GONE: decisions.runner.Outcome = {kind: 'not-admitted', isLeaving: true};
+
 /** Dispatches requests to backend servers and relays the responses. */
 export class Dispatcher {
   /** What answers tell of backend servers. */
@@ -241,7 +250,7 @@
     signal: AbortSignal,
     charged: Promise<requests.Rejection | undefined>,
   ): Promise<RetryDecision> {
-    const {directory, slots, rollouts, metrics} = this.options;
+    const {cold, directory, slots, rollouts, regions, metrics} = this.options;
     const {repeat} = progress;
     progress.repeat = undefined;
     if (repeat) {
@@ -249,16 +258,17 @@
         this.finish(repeat, accepted, caller, progress, signal),
       );
     }
-    const isCandidate = rollouts.usesCandidate(accepted.service);
-    const pool = directory.pool(accepted.service, isCandidate);
-    if (!pool) return this.giveUp(progress, 'no-backend-server');
+    const usesCandidate = rollouts.usesCandidate(accepted.service);
+    const choice = regions.poolFor(accepted, usesCandidate);
+    if (!choice) return this.giveUpWithoutServer(accepted, progress);
+    const {pool, isCandidate} = choice;
     progress.isWaiting = true;
     if (!this.options.shutdown.hasTimeFor(accepted)) {
       return this.giveUpForStop(progress);
     }
-    const {isTotal, firstMs} = this.reports.backoffs.in(pool);
+    const {isTotal, firstMs} = this.reports.backoffs.in(pool, accepted);
     if (isTotal) {
-      const detail = `${pool.backendServers.length} servers${this.reports.describe(pool)}`;
+      const detail = `${pool.backendServers.length} servers${this.describe(accepted, pool)}`;
       return this.giveUp(progress, backoffs.REASON, firstMs, detail);
     }
     const isCounted = progress.attempts === 0 || progress.isRetryCounted;
@@ -274,8 +284,17 @@
       if (!(error instanceof decisions.verdict.FailureError)) throw error;
       const {type, retryAfterMs} = error.failure;
       const waitedMs = this.nowMs - accepted.received.arrivedMs;
-      const detail = `tier ${accepted.tier}, ${pool.backendServers.length} servers, waited ${Math.round(waitedMs)} ms${this.reports.describe(pool)}`;
+      const detail = `tier ${accepted.tier}, ${pool.backendServers.length} servers, waited ${Math.round(waitedMs)} ms${this.describe(accepted, pool)}`;
       if (signal.aborted) return this.endAborted(progress, signal, detail);
+      const next = regions.poolFor(accepted, usesCandidate)?.pool;
+      if (type === 'no-backend-server' && next && next.name !== pool.name) {
+        // The version that the request waited for has no backend server any more, another has.
+        progress.isRetryCounted = progress.attempts > 0;
+        return RETRY;
+      }
+      if (type === 'no-backend-server' && accepted.allowedRegions) {
+        return this.giveUpWithoutServer(accepted, progress, detail);
+      }
       return this.giveUp(progress, type, retryAfterMs, detail);
     }
     return this.withSlot(grant, async () => {
@@ -292,13 +311,14 @@
         (this.nowMs - accepted.received.arrivedMs) / 1000,
       );
       const entry = directory.entry(grant.server.name);
-      if (!entry) {
-        slots.done(grant.ticketId, {kind: 'not-admitted', isLeaving: true});
-        return RETRY;
-      }
-      if (this.reports.backoffs.remainingMs(entry) > 0) {
+      if (entry && this.reports.backoffs.remainingMs(entry) > 0) {
         return this.returnSlot(accepted, progress, grant, slotRequest);
       }
+      if (!entry || !cold.trySend(entry.id)) {
+        slots.done(grant.ticketId, entry ? CANCELLED : GONE);
+        progress.isRetryCounted = progress.attempts > 0;
+        return RETRY;
+      }
       const {isSuspect} = slotRequest;
       const placement = {grant, entry, isCandidate, isSuspect};
       return this.send(placement, accepted, caller, progress, signal);
@@ -342,14 +362,21 @@
     progress: Progress,
     signal: AbortSignal,
   ): Promise<RetryDecision> {
+    if (!this.options.regions.allows(accepted, placement.entry)) {
+      this.release(placement);
+      progress.isRetryCounted = progress.attempts > 0;
+      return RETRY;
+    }
     const isTooLate = this.nowMs >= this.callerGivesUpMs(accepted, progress);
     if (accepted.deadlineMs - this.nowMs <= 1 || isTooLate) {
       this.release(placement);
       return this.deadlineExceeded(progress);
     }
     const attempt = this.begin(placement, accepted, progress);
-    if (attempt.number === 1)
+    if (attempt.number === 1) {
       this.options.fleetLimits.countFirstAttempt(accepted.service);
+      this.options.regions.countSend(accepted, attempt.entry);
+    }
     const opening = this.open(attempt, accepted, progress, signal);
     const sent = {...attempt, opening};
     return this.finish(sent, accepted, caller, progress, signal);
@@ -387,7 +414,7 @@
     signal: AbortSignal,
     onConnected?: () => void,
   ): Promise<forwarding.upstream.AttemptResult> {
-    const {dialect, upstream, log} = this.options;
+    const {cold, dialect, upstream, log} = this.options;
     const {received, route} = accepted;
     const {names} = dialect;
     const {entry, grant} = attempt;
@@ -410,6 +437,7 @@
       waitedMs: Math.round(attempt.sentMs - received.arrivedMs),
       heldBackMs: grant.heldBackMs || undefined,
       ...known.logFields,
+      coldPerS: cold.limitPerSOf(entry.id),
     });
     const result = await upstream.send(
       {
@@ -421,6 +449,7 @@
         requestId: received.id,
         isRepeat: attempt.isRepeat,
         known: known.statements,
+        allowedRegions: accepted.allowedRegions,
         onConnected: isCarried => {
           attempt.way.isCarried = isCarried;
           onConnected?.();
@@ -527,7 +556,8 @@
       version: '',
       isSuspect: this.standingOf(accepted).status !== 'clear',
       avoid: progress.triedServers,
-      excluded: this.reports.backoffs.in(pool).excluded,
+      allowedRegions: accepted.allowedRegions,
+      excluded: this.reports.backoffs.in(pool, accepted).excluded,
     };
   }
 
@@ -577,7 +607,7 @@
     const placement = await this.secureRepeat(accepted, progress, signal);
     if (typeof placement === 'string') return {reason: placement};
     const attempt = this.begin(placement, accepted, progress);
-    const overlap = new OverlapTimer();
+    const overlap = new silences.OverlapTimer();
     const opening = this.open(attempt, accepted, progress, signal, () =>
       overlap.start(),
     );
@@ -617,13 +647,14 @@
     progress: Progress,
     signal: AbortSignal,
   ): Promise<Placement | string> {
-    const {directory, slots, rollouts, fleetLimits} = this.options;
+    const {directory, slots, rollouts, regions, fleetLimits} = this.options;
     const {service} = accepted;
     if (!this.couldRetryAfterRunning(accepted, progress)) return 'not-allowed';
     if (!fleetLimits.hasRetryLeft(service)) return 'no-retry-left';
-    const isCandidate = rollouts.usesCandidate(service);
-    const pool = directory.pool(service, isCandidate);
-    if (!pool) return 'no-backend-server';
+    const usesCandidate = rollouts.usesCandidate(service);
+    const choice = regions.poolFor(accepted, usesCandidate);
+    if (!choice) return 'no-backend-server';
+    const {pool, isCandidate} = choice;
     const slotRequest = {
       ...this.slotRequest(accepted, pool, progress),
       isOptional: true,
@@ -639,7 +670,8 @@
       repeat &&
       !signal.aborted &&
       this.isUsable(repeat, accepted, progress) &&
-      fleetLimits.tryCountRetry(service)
+      fleetLimits.tryCountRetry(service) &&
+      this.options.cold.trySend(repeat.entry.id)
     ) {
       return repeat;
     }
@@ -657,6 +689,7 @@
     return (
       !progress.triedServers.includes(entry.id) &&
       this.reports.backoffs.remainingMs(entry) === 0 &&
+      this.options.regions.allows(accepted, entry) &&
       (status === 'clear' || (status === 'suspect' && isSuspect)) &&
       this.nowMs < this.callerGivesUpMs(accepted, progress) &&
       this.couldRetryAfterRunning(accepted, progress)
@@ -730,7 +763,7 @@
       response.headers[this.options.dialect.names.signature] !== undefined;
     if (!body || (isSuccess && !isSigned)) {
       head.cancel();
-      const failure = brokenResponse(
+      const failure = failures.brokenResponse(
         body ? 'no signature header' : 'response body ended early',
       );
       return this.handleFailure(accepted, progress, attempt, failure, signal);
@@ -744,7 +777,7 @@
       outputTokens: directories.PLAIN_REQUEST_TOKENS,
       firstTokenMs: 0,
       durationMs,
-      ...attemptoutcomes.reportOf(head.load, this.nowMs - headMs),
+      ...failures.reportOf(head.load, this.nowMs - headMs),
     };
     this.options.slots.done(
       attempt.grant.ticketId,
@@ -798,7 +831,7 @@
     // A response without the signature header was not sent by a backend server.
     if (response.headers[this.options.dialect.names.signature] === undefined) {
       head.cancel();
-      const failure = brokenResponse('no signature header');
+      const failure = failures.brokenResponse('no signature header');
       return this.handleFailure(accepted, progress, attempt, failure, signal);
     }
     try {
@@ -845,7 +878,7 @@
       head.cancel();
       addPace();
       const detail = error instanceof Error ? error.message : String(error);
-      const failure = brokenResponse(detail);
+      const failure = failures.brokenResponse(detail);
       return this.handleFailure(accepted, progress, attempt, failure, signal);
     }
     addPace();
@@ -868,7 +901,7 @@
         outputTokens,
         firstTokenMs,
         durationMs: nowMs - attempt.sentMs,
-        ...attemptoutcomes.reportOf(head.load, nowMs - headMs),
+        ...failures.reportOf(head.load, nowMs - headMs),
       },
     });
     this.recordCompletion(accepted);
@@ -927,7 +960,7 @@
     attempt: Attempt,
     failure: forwarding.upstream.AttemptFailure,
   ): Promise<void> {
-    const {slots, crashes, directory} = this.options;
+    const {cold, slots, crashes, directory} = this.options;
     const {entry, grant} = attempt;
     const isBroken =
       failure.cause === 'reset' || failure.cause === 'broken-answer';
@@ -937,12 +970,9 @@
       this.addSample(accepted, attempt, failure.verdict !== 'not-run', 0, 0);
     }
     if (hasCrashed) crashes.recordCrash(entry.id);
-    slots.done(
-      grant.ticketId,
-      isInDoubt
-        ? {kind: 'cancelled'}
-        : attemptoutcomes.OUTCOMES[failure.cause](hasCrashed),
-    );
+    const outcome = failures.OUTCOMES[failure.cause](hasCrashed);
+    if (!isInDoubt) cold.onOutcome(entry.id, outcome);
+    slots.done(grant.ticketId, isInDoubt ? {kind: 'cancelled'} : outcome);
     if (failure.cause === 'wrong-server') {
       directory.onServerEntry(entry.id, undefined);
     }
@@ -962,10 +992,8 @@
   ): boolean {
     const {paths} = this.options;
     if (cause === 'connect-failed') return !paths.isUnreachable(entry.address);
-    if (way.isCarried) return attemptoutcomes.CARRIER_FAILURES.has(cause);
-    return (
-      attemptoutcomes.LINK_FAILURES.has(cause) && paths.isCut(entry.address)
-    );
+    if (way.isCarried) return failures.CARRIER_FAILURES.has(cause);
+    return failures.LINK_FAILURES.has(cause) && paths.isCut(entry.address);
   }
 
   /** True when a request may be retried now; the retry is then counted in the budget. */
@@ -977,13 +1005,22 @@
     return this.options.fleetLimits.tryCountRetry(accepted.service);
   }
 
-  /** True if some backend server of the service accepts requests from this host. */
+  /** True if some backend server that the request may use accepts requests from this host. */
   private hasAcceptingServer(
-    {service}: requests.AcceptedRequest,
+    accepted: requests.AcceptedRequest,
     {isCandidate}: Attempt,
   ): boolean {
-    const pool = this.options.directory.pool(service, isCandidate);
-    return pool !== undefined && !this.reports.backoffs.in(pool).isTotal;
+    const choice = this.options.regions.poolFor(accepted, isCandidate);
+    if (!choice) return false;
+    return !this.reports.backoffs.in(choice.pool, accepted).isTotal;
+  }
+
+  /** Describes what limits a request to a pool, for the line of its refusal. */
+  private describe(
+    accepted: requests.AcceptedRequest,
+    pool: decisions.config.Service,
+  ): string {
+    return `${this.options.limits.describe(pool)}${this.reports.describe(pool, accepted)}${regionsModule.describe(accepted)}`;
   }
 
   private isRetryAllowed(
@@ -1020,6 +1057,20 @@
     );
   }
 
+  /** Ends a request whose service has no backend server that it may use. */
+  private giveUpWithoutServer(
+    accepted: requests.AcceptedRequest,
+    progress: Progress,
+    detail = `after ${progress.attempts} attempts${regionsModule.describe(accepted)}`,
+  ): RetryDecision {
+    return accepted.allowedRegions === undefined
+      ? this.giveUp(progress, 'no-backend-server')
+      : this.giveUp(
+          ...([progress, requests.NO_SERVER_IN_REGIONS] as const),
+          ...([requests.NO_SERVER_IN_REGIONS_RETRY_AFTER_MS, detail] as const),
+        );
+  }
+
   /** Ends a request that a stopping host has too little time for. */
   private giveUpForStop(progress: Progress, detail?: string): RetryDecision {
     const {REASON, RETRY_AFTER_MS} = shutdowns;
@@ -1128,25 +1179,6 @@
   }
 }
 
-/** Limits how long a repeat may run beside the attempt that it repeats. */
-class OverlapTimer {
-  private timer: NodeJS.Timeout | undefined;
-  private onOverdue: (value: 'overdue') => void = () => undefined;
-  /** Resolves when the time is over. */
-  readonly overdue = new Promise<'overdue'>(resolve => {
-    this.onOverdue = resolve;
-  });
-
-  /** Starts the time: the repeat may run from now on. */
-  start(): void {
-    this.timer = setTimeout(this.onOverdue, MAX_OVERLAP_MS, 'overdue');
-  }
-
-  stop(): void {
-    clearTimeout(this.timer);
-  }
-}
-
 /** Throws unless an event with this id may go on with a stream after the event `after`. */
 function requireFollowing(id: string | undefined, after: string): void {
   if (forwarding.events.mayFollow(id, after)) return;
@@ -1163,12 +1195,3 @@
 function ended(result: DispatchResult): RetryDecision {
   return {kind: 'ended', ended: result};
 }
-
-function brokenResponse(detail: string): forwarding.upstream.AttemptFailure {
-  const cause = 'broken-answer';
-  const verdict = 'may-have-run';
-  return {
-    ...{kind: 'failed', cause, verdict, status: 0, detail},
-    ...{load: undefined, statements: undefined},
-  };
-}
--- a/packages/gateway/src/attemptoutcomes.ts
+++ b/packages/gateway/src/failures.ts
@@ -1,5 +1,6 @@
-// What the end of an attempt tells a keeper about the backend server.
-
+/*
+ * What the end of an attempt tells, and to whom it is reported.
+ */
 import type * as decisions from '@banyanhall/decisions';
 import type * as forwarding from '@banyanhall/forwarding';
 
@@ -20,8 +21,8 @@
 > = {
   'invalid-request': () => ({kind: 'cancelled'}),
   'connect-failed': () => ({kind: 'unreachable'}),
-  reset: hasCrashed => ({kind: hasCrashed ? 'crashed' : 'failed'}),
-  'broken-answer': hasCrashed => ({kind: hasCrashed ? 'crashed' : 'failed'}),
+  reset: brokenOutcome,
+  'broken-answer': brokenOutcome,
   // The caller is still connected: this host gave up the attempt for its silence.
   cancelled: () => ({kind: 'silent'}),
   'timed-out': () => ({kind: 'failed'}),
@@ -30,6 +31,22 @@
   'wrong-server': () => ({kind: 'not-admitted', isLeaving: true}),
 };
 
+function brokenOutcome(hasCrashed: boolean): decisions.runner.Outcome {
+  return hasCrashed ? {kind: 'crashed'} : {kind: 'failed', isBroken: true};
+}
+
+/** Builds the failure of an attempt whose response can't be used. */
+export function brokenResponse(
+  detail: string,
+): forwarding.upstream.AttemptFailure {
+  const cause = 'broken-answer';
+  const verdict = 'may-have-run';
+  return {
+    ...{kind: 'failed', cause, verdict, status: 0, detail},
+    ...{load: undefined, statements: undefined},
+  };
+}
+
 /** What a response's load report of this age adds to the measurement of its attempt. */
 export function reportOf(
   load: forwarding.loadreport.LoadReport | undefined,
--- a/packages/gateway/src/host.ts
+++ b/packages/gateway/src/host.ts
@@ -14,7 +14,6 @@
 import * as routers from '@banyanhall/fleet/router.js';
 import * as slotsModule from '@banyanhall/fleet/slots.js';
 import * as statementsModule from '@banyanhall/fleet/statements.js';
-import * as timelines from '@banyanhall/fleet/timeline.js';
 import * as forwarding from '@banyanhall/forwarding';
 import * as peers from '@banyanhall/peers';
 import type * as platform from '@banyanhall/platform';
@@ -24,28 +23,37 @@
 import * as allowancesModule from './allowances.js';
 import * as badinputs from './badinputs.js';
 import * as fleetlimits from './fleetlimits.js';
+import * as callerbounds from './callerbounds.js';
+import * as callerclosures from './callerclosures.js';
+import type * as callerconnection from './callerconnection.js';
 import * as callerconnections from './callerconnections.js';
+import * as callerrequests from './callerrequests.js';
 import * as callerresponses from './callerresponse.js';
+import * as coldservers from './coldservers.js';
 import * as dispatchers from './dispatcher.js';
+import * as evacuationsModule from './evacuations.js';
 import * as directories from './directory.js';
 import * as listeners from './listeners.js';
 import * as logs from './logs.js';
 import * as looplag from './looplag.js';
 import * as metricsModule from './metrics.js';
+import * as regionsModule from './regions.js';
 import * as requests from './request.js';
+import type * as requestbody from './requestbody.js';
 import * as rollouts from './rollouts.js';
+import * as serverlimits from './serverlimits.js';
 import * as serverstatements from './serverstatements.js';
 import * as shutdowns from './shutdown.js';
+import * as sidelisteners from './sidelisteners.js';
 import * as suspectrejections from './suspectrejections.js';
+import * as timelinelog from './timelinelog.js';
 import * as tunnelsModule from './tunnels.js';
+import * as verifiedhosts from './verifiedhosts.js';
 
 /** How long callers may cache an address response, in milliseconds. */
 const ADDRESS_TTL_MS = 1000;
 /** Some callers use an address response for this multiple of its TTL. */
 const ADDRESS_TTL_FACTOR = 3;
-const MAX_HEADER_BYTES = 65_536;
-/** The keep-alive timeout until a configuration is known. */
-const DEFAULT_KEEP_ALIVE_MS = 15_000;
 /** At this event loop lag a host rejects new requests, since it could only answer them late. */
 const MAX_LOOP_LAG_MS = 400;
 /** The retry-after time of requests rejected for lag; callers may retry on another host. */
@@ -77,19 +85,23 @@
   readonly serverHeartbeatMs: number;
   /** The most bytes that the host buffers for requests. */
   readonly bufferLimitBytes: number;
+  /** What it may hold for callers besides; without bounds by default. */
+  readonly callerBounds?: callerbounds.CallerBounds;
   /** The CPU quota of the host in cores; 0 when unknown. */
   readonly cores: number;
   readonly fleetLimits: fleetlimits.FleetLimitSettings;
   readonly quota: allowancesModule.QuotaSettings;
+  /** The bound of requests to cold backend servers. */
+  readonly warmup: decisions.coldstart.WarmupBounds;
 }
 
 /** The platform's formats of readiness checks, address queries and configurations; supplied by the platform adapter. */
 export interface PlatformFormats {
   readonly isReadinessCheck: (path: string) => boolean;
-  /** Parses the zone and region of an address query; undefined when the target is not one. */
+  /** Parses an address query; undefined when the target is not one. */
   readonly parseAddressQuery: (
     target: string,
-  ) => {readonly zone: string; readonly region: string} | undefined;
+  ) => Omit<addresses.AddressQuery, 'caller'> | undefined;
   readonly formatAddresses: (
     addresses: readonly Address[],
     ttlMs: number,
@@ -133,6 +145,10 @@
   private readonly slots: slotsModule.Slots;
   private readonly crashes: crashesModule.Crashes;
   private readonly statements: statementsModule.Statements;
+  readonly evacuations: evacuationsModule.Evacuations;
+  /** The backend servers that are cold after a start. */
+  readonly coldServers: coldservers.ColdServers;
+  private readonly serverLimits: serverlimits.ServerLimits;
   private readonly fleetLimits: fleetlimits.FleetLimits;
   private readonly allowances: allowancesModule.Allowances;
   private readonly dispatcher: dispatchers.Dispatcher;
@@ -142,6 +158,10 @@
   private readonly ingress: http.Server;
   private readonly buffers: forwarding.buffers.BufferAccount;
   private readonly callers: callerconnections.CallerConnections;
+  private readonly callerOptions: Omit<
+    callerconnections.CallerConnectionsOptions,
+    'server'
+  >;
   private readonly shutdown: shutdowns.Shutdown;
   private readonly lag = new looplag.EventLoopLag(() =>
     this.clock.monotonicMs(),
@@ -155,6 +175,7 @@
   private stopped: Promise<void> | undefined;
   private configurationSource = '';
   private isReadyLogged = false;
+  private readonly verifiedHosts: verifiedhosts.VerifiedHosts;
   private readonly cutOffHosts = new addresses.CutOffHosts(this.clock);
   private readonly serverStatements: serverstatements.ServerStatements;
 
@@ -167,14 +188,13 @@
       decisions.rendezvous.hash32(`${host}${clock.nowMs()}`),
     );
     const {random} = this;
-    const timeline = new timelines.Timeline(host, event => {
-      const logged = TIMELINE_EVENTS[event.kind as timelines.EventKind];
-      if (logged) log.event(logged, event.requestId, {...event.detail});
-    });
+    const timeline = timelinelog.loggedTimeline(host, log);
+    const {callerBounds: bounds = callerbounds.UNBOUNDED} = settings;
     this.links = new peers.links.Links({
-      host,
+      ...{host, maxUnknownConnections: bounds.unknownPeers},
       secret: LINK_SECRET,
       onMessage: (from, item) => {
+        this.verifiedHosts.onHeard(from);
         this.members.onMessageFrom(from);
         this.handleMessage(from, item);
       },
@@ -190,9 +210,18 @@
       member: name => this.members.get(name),
     });
     const {router} = this;
+    this.evacuations = new evacuationsModule.Evacuations({
+      ...{log, metrics},
+      isKnownZone: name => name === zone || settings.regionByZone.has(name),
+      onChange: () => {
+        this.directory.onEvacuations();
+        this.logReady();
+      },
+    });
     this.directory = new directories.Directory({
       ...{clock, log, regionByZone: settings.regionByZone},
       heartbeatMs: settings.serverHeartbeatMs,
+      isEvacuated: name => this.evacuations.isEvacuated(name),
       onChange: () => {
         this.keeper.onConfig();
         this.slots.onMembers();
@@ -201,6 +230,10 @@
     const {directory} = this;
     const config = () => directory.poolConfig;
     const serving = () => this.members.serving;
+    this.verifiedHosts = new verifiedhosts.VerifiedHosts({
+      ...{host, clock, log},
+      probe: name => this.members.probeUnresponsive(name),
+    });
     this.members = new membersModule.Members({
       ...{table: options.table, router, timeline, clock, random},
       self: {
@@ -219,6 +252,7 @@
       onConfigState: (from, state) => this.onPeerConfigState(from, state),
       onChange: () => {
         this.slots.onMembers();
+        this.verifiedHosts.onMembers(this.members.view);
         this.feedRelay.onMembers();
         this.upstream.closeIdleExcept(
           new Set(serving().map(member => member.host)),
@@ -246,9 +280,11 @@
       ...{host, clock, router, timeline, config, serving},
       // Backend servers that leave are removed from the directory instead.
       serverList: {list: () => Promise.resolve([])},
-      limitPerSOf: server => this.ownLimitPerSOf(server),
+      limitPerSOf: server => this.serverLimits.ownLimitPerSOf(server),
       brittlePartOf: server =>
         this.serverStatements.isBrittle(server) ? this.members.part : undefined,
+      onOutcome: (server, outcome) =>
+        this.coldServers.onOutcome(server, outcome),
     });
     this.slots = new slotsModule.Slots({
       ...{host, region, zone, clock, router, timeline, config, serving},
@@ -256,7 +292,7 @@
         fallbacks.chooseServer(slotRequest, {
           ...{region, random},
           heldOn: server => this.slots.heldOn(server),
-          limitPerSOf: server => this.limitPerSOf(server),
+          limitPerSOf: server => this.serverLimits.limitPerSOf(server),
           isBrittle: server => this.serverStatements.isBrittle(server),
         }),
       onUnanswered: keeper => this.members.probeUnresponsive(keeper),
@@ -265,11 +301,6 @@
       ...{host, clock, router, timeline},
       targets: except => this.members.gossipTargets(except),
     });
-    this.serverStatements = new serverstatements.ServerStatements({
-      ...{clock, log, metrics, directory, statements: () => this.statements},
-      onLimit: server => this.keeper.onLimit(server),
-      limitPerSOf: server => this.limitPerSOf(server),
-    });
     this.statements = new statementsModule.Statements({
       ...{host, clock, router},
       targets: except => this.members.gossipTargets(except),
@@ -277,10 +308,25 @@
       isInUse: start => directory.entryOfStart(start) !== undefined,
       onChange: change => this.serverStatements.onChange(change),
     });
+    const onLimit = (server: string) => this.keeper.onLimit(server);
+    const part = () => this.members.part;
+    this.coldServers = new coldservers.ColdServers({
+      ...{clock, directory, log, metrics, part, onChange: onLimit},
+      bounds: settings.warmup,
+      entriesAgeMs: () => this.feedRelay.oldestAnswerAgeMs,
+    });
+    this.serverLimits = new serverlimits.ServerLimits({
+      ...{directory, log, metrics, part, onChange: onLimit},
+      ...{statements: this.statements, cold: this.coldServers},
+    });
+    this.serverStatements = new serverstatements.ServerStatements({
+      ...{clock, log, metrics, directory, statements: this.statements},
+      ...{limits: this.serverLimits, onBrittle: onLimit},
+    });
     this.fleetLimits = new fleetlimits.FleetLimits({
       ...{host, clock, random, settings: settings.fleetLimits},
       members: serving,
-      part: () => this.members.part,
+      ...{part},
       send: (to, item) => router.send(to, item),
       onUnanswered: hub => this.members.probeUnresponsive(hub),
     });
@@ -298,7 +344,9 @@
       onRewritten: key => this.onRewritten('rollout', key),
     });
     const {bufferLimitBytes} = settings;
-    this.buffers = new forwarding.buffers.BufferAccount(bufferLimitBytes);
+    this.buffers = new forwarding.buffers.BufferAccount(
+      ...([bufferLimitBytes, bounds] as const),
+    );
     this.tunnels = new tunnelsModule.Tunnels({
       ...{host, zone, clock, random, links: this.links, serving, directory},
       buffers: this.buffers,
@@ -319,14 +367,19 @@
       noticeMs: ADDRESS_TTL_MS * ADDRESS_TTL_FACTOR,
     });
     const {slots, crashes, upstream, shutdown} = this;
+    const {regionByZone} = settings;
     this.dispatcher = new dispatchers.Dispatcher({
       ...{clock, dialect, directory, upstream, slots, crashes, log, metrics},
       ...{fleetLimits: this.fleetLimits, rollouts: this.rollouts},
       ...{statements: this.statements, shutdown, paths},
+      regions: new regionsModule.Regions({
+        ...{region, regionByZone, directory, metrics},
+      }),
+      ...{limits: this.serverLimits, cold: this.coldServers},
     });
     router.connect(this.handlers());
     this.ingress = http.createServer(
-      {maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: 0, noDelay: true},
+      callerrequests.SERVER_OPTIONS,
       (request, response) => {
         this.onRequest(request, response).catch(error => {
           this.logError('', error);
@@ -334,23 +387,35 @@
         });
       },
     );
-    this.ingress.keepAliveTimeout = DEFAULT_KEEP_ALIVE_MS;
-    this.callers = new callerconnections.CallerConnections(this.ingress);
-    this.metricsServer = listeners.createServer((target, response) => {
-      if (target !== settings.metricsPath)
-        return listeners.respond(response, 404, '');
-      void this.metricsText().then(
-        text => listeners.respond(response, 200, text, 'text/plain'),
-        () => listeners.respond(response, 500, ''),
-      );
+    this.callerOptions = {
+      ...{clock, account: this.buffers, bounds},
+      closures: new callerclosures.CallerClosures(log, metrics),
+      limits: () => directory.configuration?.limits,
+      isStopping: () => shutdown.hasBegun,
+    };
+    this.callers = new callerconnections.CallerConnections({
+      ...{...this.callerOptions, server: this.ingress},
     });
+    const {checkConnections} = bounds;
+    this.metricsServer = this.createServer(
+      checkConnections,
+      (target, response) => {
+        if (target !== settings.metricsPath)
+          return listeners.respond(response, 404, '');
+        void this.metricsText().then(
+          text => listeners.respond(response, 200, text, 'text/plain'),
+          () => listeners.respond(response, 500, ''),
+        );
+      },
+    );
   }
 
-  /** True when this host has a configuration, all that it needs serves, and it is not stopping. */
+  /** True when this host has a configuration, knows the evacuated zones, all that it needs serves, and it is not stopping. */
   get isReady(): boolean {
     return (
       !this.shutdown.hasBegun &&
       this.directory.configuration !== undefined &&
+      this.evacuations.areKnown &&
       this.links.isListening &&
       this.neededServers.length > 0 &&
       this.neededServers.every(server => server.listening)
@@ -363,15 +428,20 @@
    */
   async start(): Promise<void> {
     const {settings, log} = this.options;
-    const readiness = listeners.createServer((target, response) => {
-      const isReadinessCheck = this.options.formats.isReadinessCheck(target);
-      listeners.respond(
-        response,
-        isReadinessCheck ? (this.isReady ? 200 : 503) : 404,
-        '',
-      );
-    });
-    const lookup = listeners.createServer((target, response) =>
+    const bounds = settings.callerBounds ?? callerbounds.UNBOUNDED;
+    const {checkConnections, lookupConnections} = bounds;
+    const readiness = this.createServer(
+      checkConnections,
+      (target, response) => {
+        const isReadinessCheck = this.options.formats.isReadinessCheck(target);
+        listeners.respond(
+          response,
+          isReadinessCheck ? (this.isReady ? 200 : 503) : 404,
+          '',
+        );
+      },
+    );
+    const lookup = this.createServer(lookupConnections, (target, response) =>
       this.respondWithAddresses(target, response),
     );
     this.neededServers.push(this.ingress, readiness, lookup);
@@ -408,9 +478,11 @@
       return;
     }
     if (!this.directory.onConfiguration(next, from)) return;
+    const {regionByZone} = this.options.settings;
+    regionsModule.reportMistakes(next, regionByZone, this.badInputs);
     this.configurationText = text;
     this.configurationSource = from;
-    this.ingress.keepAliveTimeout = next.limits.idleTimeoutMs;
+    callerrequests.applyLimits(this.ingress, next.limits);
     this.logReady();
   }
 
@@ -477,7 +549,7 @@
   }
 
   /** Logs the requests whose connections this host closes at the end of its grace period. */
-  private logCut(unanswered: readonly callerconnections.OpenRequest[]): void {
+  private logCut(unanswered: readonly callerconnection.OpenRequest[]): void {
     const {log, metrics} = this.options;
     for (const {id, stage, arrivedMs} of unanswered) {
       const ageMs = Math.round(this.clock.monotonicMs() - arrivedMs);
@@ -489,8 +561,11 @@
   /** The parts with timers of their own. */
   private get parts(): readonly Part[] {
     const {keeper, slots, crashes, statements, fleetLimits, feedRelay} = this;
-    const {paths} = this;
-    return [keeper, slots, crashes, statements, fleetLimits, feedRelay, paths];
+    const {paths, coldServers: cold} = this;
+    return [
+      ...[keeper, slots, crashes, statements, fleetLimits, feedRelay, paths],
+      cold,
+    ];
   }
 
   /** Handles a message of another host. An exception would end the link's reading, so that later messages are lost. */
@@ -570,28 +645,34 @@
       id,
       () => this.shutdown.hasBegun,
     );
-    const tracked = this.callers.track(request, response, id, arrivedMs);
-    const holding = this.buffers.open();
-    response.once('close', () => holding.release());
+    const incoming = this.callers.begin(request, response, id, arrivedMs);
+    if (!incoming) return;
+    const {tracked, holding} = incoming;
     let route = '';
     let result: dispatchers.DispatchResult;
+    let isUnread = false;
     try {
-      const body = await this.readBody(request, holding);
+      const body = await this.readBody(incoming);
       if (caller.isDisconnected || body === undefined) {
         log.event('caller-left', id, {stage: 'reading'});
         return;
       }
-      tracked.stage = 'dispatching';
-      const checked =
-        typeof body === 'string'
-          ? UNREAD_REJECTIONS[body]()
-          : (this.rejectionForLag() ??
-            this.check(toReceivedRequest(request, id, body, arrivedMs, names)));
-      if (checked.kind === 'accepted') {
-        route = checked.route.name;
-        result = await this.chargeAndDispatch(checked, caller, holding);
+      if (typeof body === 'string') {
+        isUnread = body !== 'cut';
+        if (body !== 'cut') this.callers.onRefused(request, incoming, body);
+        result = callerrequests.UNREAD_REJECTIONS[body]();
       } else {
-        result = checked;
+        this.callers.onRead(request, incoming);
+        await this.callers.mayDispatch(request, incoming);
+        const checked =
+          this.rejectionForLag() ??
+          this.check(requests.toReceived(request, id, body, arrivedMs, names));
+        if (checked.kind === 'accepted') {
+          route = checked.route.name;
+          result = await this.chargeAndDispatch(checked, caller, holding);
+        } else {
+          result = checked;
+        }
       }
     } catch (error) {
       this.logError(id, error);
@@ -604,14 +685,16 @@
     }
     tracked.stage = 'answering';
     try {
-      finishResponse(caller, result);
+      callerrequests.finishResponse(caller, result);
     } catch (error) {
       this.logError(id, error);
       caller.abort();
     }
     const outcome = result.kind === 'rejection' ? result.reason : result.kind;
     metrics.requests.inc({route, outcome});
-    log.event(EVENT_BY_RESULT[result.kind], id, {
+    // Refusals of this kind are logged together, at most once a second.
+    if (isUnread) return;
+    log.event(callerrequests.EVENT_BY_RESULT[result.kind], id, {
       route,
       ...result,
       kind: undefined,
@@ -627,17 +710,18 @@
   }
 
   /** Reads the body of a request; undefined when the caller disconnected first. */
-  private async readBody(
-    request: http.IncomingMessage,
-    holding: forwarding.buffers.Holding,
-  ): Promise<Buffer | undefined | UnreadReason> {
+  private async readBody({
+    body,
+  }: callerconnection.IncomingRequest): Promise<
+    Buffer | undefined | requestbody.UnreadReason
+  > {
     const {shutdown} = this;
     const cut = new AbortController();
+    cut.signal.addEventListener('abort', () => body.end('cut'));
     const release = shutdown.abortWhen(cut, () => shutdown.mustCut);
-    const body = await listeners.readBody(request, cut.signal, holding);
+    const result = await body.result;
     release();
-    if (holding.signal.aborted) return 'no-room';
-    return cut.signal.aborted ? 'cut' : body;
+    return result;
   }
 
   /**
@@ -693,20 +777,6 @@
       : shutdowns.rejection('too little time left');
   }
 
-  /** The requests a second that a backend server states to take. */
-  private limitPerSOf(server: string): number | undefined {
-    const entry = this.directory.entry(server);
-    return (
-      entry && this.statements.valueOf(directories.startOf(entry), 'limit')
-    );
-  }
-
-  /** The part of that limit which this side of a partition may use. */
-  private ownLimitPerSOf(server: string): number | undefined {
-    const limitPerS = this.limitPerSOf(server);
-    return limitPerS === undefined ? undefined : limitPerS * this.members.part;
-  }
-
   /** Applies a change of the part of the fleet that this host sees, to what it keeps for the fleet. */
   private onPart(): void {
     this.allowances.onPart();
@@ -760,21 +830,28 @@
     );
     const caller = response.socket?.remoteAddress ?? '';
     this.cutOffHosts.onState(settings.host, this.paths.isCutOff);
-    const usable = this.cutOffHosts.usable(serving);
-    const selected = addresses.selectHosts(usable, {...query, caller});
+    const selected = this.verifiedHosts.select(serving, hosts =>
+      addresses.hostsForCaller(
+        ...([hosts, {...query, caller}, this.cutOffHosts] as const),
+        this.directory.configuration,
+      ),
+    );
     const callerAddresses = selected.map(member => member.callerUrl);
     const body = formats.formatAddresses(callerAddresses, ADDRESS_TTL_MS);
     listeners.respond(response, 200, body, 'application/json');
   }
 
   private async metricsText(): Promise<string> {
-    const {metrics} = this.options;
+    const {metrics, settings} = this.options;
     const inFlight = this.callers.requests.length;
     metrics.setGauge('in_flight', 'Requests in flight.', inFlight);
     const version = this.directory.configuration?.version ?? 0;
     metrics.setGauge('configuration_version', 'Version in force.', version);
     const hosts = this.members.serving.length;
     metrics.setGauge('serving_hosts', 'Hosts known to serve.', hosts);
+    const unverified = this.verifiedHosts.unverified(this.members.serving);
+    const unverifiedHelp = 'Serving hosts that lookups do not name yet.';
+    metrics.setGauge('unverified_hosts', unverifiedHelp, unverified);
     const {connectionsOpened: connections} = this.upstream;
     metrics.setGauge('backend_connections', 'Connections opened.', connections);
     const cutHelp = 'Backend servers that only other hosts reach.';
@@ -788,13 +865,10 @@
     const ageHelp = 'Age of the oldest answer of the store in use, in seconds.';
     const ageS = this.feedRelay.oldestAnswerAgeMs / 1000;
     metrics.setGauge('store_answer_age_seconds', ageHelp, ageS);
-    const {heldBytes, limitBytes, ended} = this.buffers;
-    const heldHelp = 'Bytes buffered for requests.';
-    metrics.setGauge('buffered_bytes', heldHelp, heldBytes);
-    const limitHelp = 'Most bytes that are buffered for requests.';
-    metrics.setGauge('buffered_bytes_limit', limitHelp, limitBytes);
-    const endedHelp = 'Requests ended for room in the buffers since the start.';
-    metrics.setGauge('requests_without_room', endedHelp, ended);
+    const callerBounds = settings.callerBounds ?? callerbounds.UNBOUNDED;
+    callerrequests.reportHeld(
+      ...([metrics, this.buffers, this.callers, callerBounds] as const),
+    );
     this.serverStatements.setGauges();
     this.dispatcher.reports.setGauges();
     const refused = this.crashes.refusedParts.length;
@@ -807,6 +881,15 @@
     return metrics.text();
   }
 
+  /** Creates a server beside that of callers' requests. */
+  private createServer(
+    connections: number,
+    handle: (target: string, response: http.ServerResponse) => void,
+  ): http.Server {
+    const bounds = {...this.callerOptions.bounds, connections};
+    return sidelisteners.createServer({...this.callerOptions, bounds}, handle);
+  }
+
   /** Listens on an address, waiting for it while it is taken. */
   private async listen(
     server: http.Server,
@@ -839,75 +922,6 @@
   }
 }
 
-/** Why the body of a request was not read to its end: the grace period has, or the host has no room. */
-type UnreadReason = 'cut' | 'no-room';
-
-const UNREAD_REJECTIONS: Readonly<
-  Record<UnreadReason, () => requests.Rejection>
-> = {
-  cut: () => shutdowns.rejection('body not complete'),
-  'no-room': () =>
-    requests.rejection(
-      503,
-      dispatchers.NO_ROOM,
-      dispatchers.NO_ROOM_RETRY_AFTER_MS,
-      'body not complete',
-    ),
-};
-
-/** The log events written for the timeline's events; others are not logged. */
-const TIMELINE_EVENTS: Readonly<
-  Partial<Record<timelines.EventKind, logs.LogEvent>>
-> = {
-  member: 'host',
-  partition: 'host',
-  keeper: 'host',
-  alone: 'host',
-  crash: 'suspect',
-};
-
-const EVENT_BY_RESULT: Readonly<
-  Record<dispatchers.DispatchResult['kind'], logs.LogEvent>
-> = {
-  answered: 'answered',
-  'broken-off': 'broken',
-  'caller-left': 'caller-left',
-  rejection: 'refused',
-};
-
-/** Sends what the caller is still to get: a rejection, or the end of its connection where part of a response was sent. */
-function finishResponse(
-  caller: callerresponses.CallerResponse,
-  result: dispatchers.DispatchResult,
-): void {
-  if (result.kind === 'rejection' && !caller.isStarted) {
-    caller.sendRejection(result);
-  } else if (result.kind === 'rejection' || result.kind === 'broken-off') {
-    caller.abort();
-  }
-}
-
-function toReceivedRequest(
-  request: http.IncomingMessage,
-  id: string,
-  body: Buffer,
-  arrivedMs: number,
-  names: forwarding.headers.HeaderNames,
-): requests.ReceivedRequest {
-  const timeoutMs = Number(
-    forwarding.headers.value(request.headers, names.remainingMs),
-  );
-  return {
-    ...{id, body, arrivedMs},
-    method: request.method ?? 'GET',
-    target: request.url ?? '/',
-    authority: request.headers.host ?? '',
-    headers: request.headers,
-    rawHeaders: request.rawHeaders,
-    callerTimeoutMs: timeoutMs > 0 ? timeoutMs : undefined,
-  };
-}
-
 function fingerprintOf(text: string, body: Buffer): string {
   return crypto.createHash('sha1').update(text).update(body).digest('base64');
 }
--- a/packages/gateway/src/listeners.ts
+++ b/packages/gateway/src/listeners.ts
@@ -4,27 +4,11 @@
 import * as http from 'node:http';
 import * as timers from 'node:timers/promises';
 
-import type * as forwarding from '@banyanhall/forwarding';
-
 /** The maximum number of connections that wait to be accepted. */
 const BACKLOG = 4096;
 /** The pause between two tries to start a listener. */
 const START_RETRY_MS = 100;
 
-/** Creates a server that passes each request's target to `handle` and ignores request bodies; it responds with 400 if `handle` throws, such as for a target that is no URL. */
-export function createServer(
-  handle: (target: string, response: http.ServerResponse) => void,
-): http.Server {
-  return http.createServer((request, response) => {
-    request.resume();
-    try {
-      handle(request.url ?? '', response);
-    } catch {
-      respond(response, 400, '');
-    }
-  });
-}
-
 /** Listens on ip:port; rejects when the server fails to listen, such as on an address in use. */
 export function listen(server: http.Server, address: string): Promise<void> {
   const [host, port] = address.split(':');
@@ -75,31 +59,3 @@
   });
   response.end(body);
 }
-
-/** Reads the whole body of a request; undefined when the caller disconnected or a signal was aborted first. */
-export function readBody(
-  request: http.IncomingMessage,
-  signal: AbortSignal,
-  holding: forwarding.buffers.Holding,
-): Promise<Buffer | undefined> {
-  return new Promise(resolve => {
-    const chunks: Buffer[] = [];
-    const onData = (chunk: Buffer) => {
-      chunks.push(chunk);
-      holding.addChunk(chunk.length, request);
-    };
-    const stop = () => {
-      // The rest is read and discarded.
-      request.removeListener('data', onData);
-      chunks.splice(0);
-      request.resume();
-      resolve(undefined);
-    };
-    request.on('data', onData);
-    request.on('end', () => resolve(Buffer.concat(chunks)));
-    request.on('error', () => resolve(undefined));
-    request.on('close', () => resolve(undefined));
-    signal.addEventListener('abort', stop, {once: true});
-    holding.signal.addEventListener('abort', stop, {once: true});
-  });
-}
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -20,6 +20,11 @@
     'Sends beyond the first of a request, by service.',
     ['service'],
   );
+  readonly restrictedRequests = this.counter(
+    'banyanhall_restricted_requests_total',
+    'Requests that may use only some regions: first sent in the region of this host (home) or in another one (away).',
+    ['served'],
+  );
   readonly storeCalls = this.counter(
     'banyanhall_store_calls_total',
     'Calls to the store by call and result.',
@@ -76,6 +81,32 @@
     'Slots given back as their backend server accepts nothing from this host for a time, by service.',
     ['service'],
   );
+  readonly coldServers = new prom.Gauge({
+    name: 'banyanhall_cold_servers',
+    help: 'Backend servers that are sent less as they are cold.',
+    registers: [this.registry],
+  });
+  readonly coldSends = this.counter(
+    'banyanhall_cold_sends_total',
+    'Sends by this host to cold backend servers.',
+    [],
+  );
+  readonly coldReturns = this.counter(
+    'banyanhall_cold_returns_total',
+    'Slots on cold backend servers that this host gave back, as it had sent enough.',
+    [],
+  );
+  readonly callerClosures = this.counter(
+    'banyanhall_caller_closures_total',
+    'Connections closed, or requests refused before they were read, by cause.',
+    ['cause'],
+  );
+  readonly heldBytes = new prom.Gauge({
+    name: 'banyanhall_held_bytes',
+    help: 'Bytes held for callers and requests, by class.',
+    labelNames: ['class'],
+    registers: [this.registry],
+  });
   private readonly gauges = new Map<string, prom.Gauge>();
 
   /** Sets the gauge `banyanhall_<name>`, creating it with the text `help` on first use. */
--- a/packages/gateway/src/serverreports.ts
+++ b/packages/gateway/src/serverreports.ts
@@ -9,6 +9,7 @@
 import * as directories from './directory.js';
 import type * as logs from './logs.js';
 import type * as metricsModule from './metrics.js';
+import type * as requests from './request.js';
 
 /** The most headers of starts of backend servers of which it is remembered that an unreadable value was logged. */
 const MAX_UNREADABLE = 1024;
@@ -115,26 +116,25 @@
     statements.onAnswer(requestId, start, sentRevisions, values);
   }
 
-  /** Describes what the backend servers of a pool state, for the line of a refusal; empty if they state nothing. */
-  describe({backendServers}: decisions.config.Service): string {
+  /** Describes what the backend servers of a pool state besides limits, for the line of a refusal; empty if they state nothing. */
+  describe(
+    {backendServers}: decisions.config.Service,
+    request: Pick<requests.AcceptedRequest, 'allowedRegions'>,
+  ): string {
     const {directory, statements} = this.options;
     const starts = backendServers.flatMap(({name}) => {
       const entry = directory.entry(name);
       return entry ? [directories.startOf(entry)] : [];
     });
-    const valuesOf = (kind: decisions.statement.StatementKind) =>
-      starts.flatMap(start => statements.valueOf(start, kind) ?? []);
-    const limits = valuesOf('limit');
-    const sumPerS = limits.reduce((sum, limit) => sum + limit, 0);
-    const brittle = valuesOf('brittle').length;
-    const {excluded, firstMs} = this.backoffs.in({backendServers});
+    const brittle = starts.filter(
+      start => statements.valueOf(start, 'brittle') !== undefined,
+    ).length;
+    const {excluded, firstMs} = this.backoffs.in({backendServers}, request);
     const loads = starts.flatMap(start => {
       const {load, loadAgeMs} = this.reportFields(start);
       return load === undefined ? [] : [`${load} (${loadAgeMs} ms)`];
     });
     const parts = [
-      limits.length > 0 &&
-        `${limits.length} of them limited to ${sumPerS.toFixed(1)} requests/s together`,
       brittle > 0 && `${brittle} brittle`,
       excluded.length > 0 &&
         `${excluded.length} accept nothing from this host, the first again in ${firstMs} ms`,
--- a/packages/gateway/src/tunnels.ts
+++ b/packages/gateway/src/tunnels.ts
@@ -71,13 +71,15 @@
     return this.openedCount;
   }
 
-  /** Opens a tunnel through the best host that has not been tried. */
+  /** Opens a tunnel through the best host that has not been tried, in a region that is allowed. */
   open(
     address: string,
     tried: ReadonlySet<string>,
+    allowedRegions?: readonly string[],
   ): forwarding.carriers.CarriedConnection | undefined {
     const {host: own, zone, random, links, serving} = this.options;
-    const [best] = serving()
+    const [best] = decisions.regions
+      .only(serving(), allowedRegions)
       .filter(({host}) => host !== own && !tried.has(host))
       .map(member => ({
         member,
@@ -116,8 +118,9 @@
     };
     const isBusy = isStopping() || loopLagMs() > MAX_LOOP_LAG_MS;
     if (isBusy || this.carried >= MAX_CARRIED) throw refuse('busy');
-    // The directory holds no server that leaves, so that none gets requests this way.
-    if (!directory.entryAt(address)) throw refuse('unknown');
+    // No server that leaves or is evacuated gets requests this way.
+    const id = directory.entryAt(address)?.id ?? '';
+    if (!directory.entry(id)) throw refuse('unknown');
     if (paths().isCut(address) || paths().isCutOff) throw refuse('cut-off');
     const [host, port] = address.split(':');
     const target = {host, port: Number(port), allowHalfOpen: true};
--- a/packages/peers/src/messages.test.ts
+++ b/packages/peers/src/messages.test.ts
@@ -21,6 +21,8 @@
   avoid: [],
   excluded: [],
   urgency: 0,
+  allowedRegions: [],
+  hasAllowedRegions: true,
 };
 
 test.test('zero and empty fields are present after decoding', () => {
