--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -21,6 +21,7 @@
 export * as rendezvous from './rendezvous.js';
 export * as runner from './runner.js';
 export * as sendgate from './sendgate.js';
+export * as slowdown from './slowdown.js';
 export * as startrate from './startrate.js';
 export * as statement from './statement.js';
 export * as storeposition from './storeposition.js';
--- a/packages/decisions/src/runner.ts
+++ b/packages/decisions/src/runner.ts
@@ -3,6 +3,7 @@
 import * as prefillqueue from './prefillqueue.js';
 import * as prefixcache from './prefixcache.js';
 import * as regions from './regions.js';
+import * as slowdowns from './slowdown.js';
 import * as startrates from './startrate.js';
 import * as tickets from './ticket.js';
 
@@ -100,6 +101,16 @@
   readonly failureRate: number;
   /** Paces the starts on a runner that states a limit. */
   readonly startRate: startrates.StartRate | undefined;
+  /** The part of the slots that may be used of a runner that states that it is brittle; undefined if it does not. */
+  readonly brittlePart: number | undefined;
+  /** The attempts completed since the runner was created or last went down. */
+  readonly completions: number;
+  /** How much slower than usual the runner works, as it last reported. */
+  readonly slowdown: slowdowns.Slowdown | undefined;
+  /** When an attempt last completed, or the first of the running ones was granted if that is later. */
+  readonly progressMs: number;
+  /** The sum of the expected times of the running tickets, in milliseconds. */
+  readonly expectedRunningMs: number;
 }
 
 /** The expected times of a ticket on a runner, from its dispatch. */
@@ -153,6 +164,8 @@
       },
       failureRate: 0,
       startRate: undefined,
+      ...{brittlePart: undefined, completions: 0, slowdown: undefined},
+      ...{progressMs: -Infinity, expectedRunningMs: 0},
     });
   }
 
@@ -199,6 +212,11 @@
     return this.fields.startRate?.limitPerS;
   }
 
+  /** The part of the runner's slots that may be used while it is brittle; undefined while it is not. */
+  get brittlePart(): number | undefined {
+    return this.fields.brittlePart;
+  }
+
   /** The starts that the runner's limit allows in a millisecond. */
   get startsPerMs(): number {
     return this.fields.startRate?.startsPerMs ?? Infinity;
@@ -216,10 +234,11 @@
     return state === 'down' && nowMs >= retryAtMs && running === 0;
   }
 
-  /** Returns true if the runner is in a region that the ticket may use and serves its version; one without known versions serves all. */
+  /** Returns true if the runner is in a region that the ticket may use, serves its version and accepts requests of its host; one without known versions serves all. */
   serves(ticket: tickets.Ticket): boolean {
     const {versions, server} = this.fields;
     if (!regions.isAllowed(ticket.allowedRegions, server.region)) return false;
+    if (ticket.excluded?.includes(this.name)) return false;
     return (
       ticket.version === '' ||
       versions.length === 0 ||
@@ -239,6 +258,7 @@
 
   private hasRoomFor(ticket: tickets.Ticket, nowMs: number): boolean {
     if (!this.isAvailable(nowMs) || this.fields.hasSuspect) return false;
+    if (!this.staysWithinBrittleRoom(nowMs)) return false;
     if (this.fields.running === 0) return true;
     if (ticket.isSuspect) return false;
     const ceiling = TIER_CEILING[ticket.tier];
@@ -250,6 +270,22 @@
     );
   }
 
+  /**
+   * Returns true unless the runner is brittle and one more request might have to
+   * wait there. Others' requests count in full while their report is recent.
+   * A runner that was down or is new to its keeper starts with one request, and
+   * each one that completes makes room for one more at a time.
+   */
+  private staysWithinBrittleRoom(nowMs: number): boolean {
+    const {brittlePart, completions, running, server} = this.fields;
+    if (brittlePart === undefined) return true;
+    const {foreignRunning, foreignReportedAtMs} = this.fields;
+    const isRecent = nowMs - foreignReportedAtMs < FOREIGN_DECAY_MS;
+    const slots = Math.max(1, Math.floor(server.maxRunning * brittlePart));
+    const room = Math.min(slots, completions + 1);
+    return running + (isRecent ? foreignRunning : 0) < room;
+  }
+
   /** Returns true if the runner's limit allows a start at `nowMs`. */
   private mayStart(nowMs: number): boolean {
     return this.fields.startRate?.allows(nowMs) ?? true;
@@ -282,6 +318,7 @@
   hasRoom(nowMs: number): boolean {
     const {server, running, hasSuspect} = this.fields;
     if (!this.isAvailable(nowMs) || hasSuspect) return false;
+    if (!this.staysWithinBrittleRoom(nowMs)) return false;
     return running + this.foreignRunningAt(nowMs) < server.maxRunning;
   }
 
@@ -296,6 +333,22 @@
     return this.forecastOf(ticket).answerMs;
   }
 
+  /** The running requests that are expected to complete in a millisecond if nothing slows the runner down. */
+  get completionsPerMs(): number {
+    const {running, expectedRunningMs} = this.fields;
+    return running ** 2 / Math.max(1, expectedRunningMs);
+  }
+
+  /** Returns by how much the time of work that starts at `nowMs` exceeds the usual, by the runner's reports; 1 without recent ones. */
+  slowdownAt(nowMs: number): number {
+    const {slowdown, progressMs} = this.fields;
+    if (!slowdown) return 1;
+    const {completionsPerMs} = this;
+    const due =
+      completionsPerMs === 0 ? 0 : completionsPerMs * (nowMs - progressMs);
+    return slowdowns.factorAt(slowdown, due, nowMs);
+  }
+
   /** Returns the expected prefill time of the ticket's prompt, in milliseconds. */
   expectedPrefillMs(ticket: tickets.Ticket): number {
     return this.forecastOf(ticket).prefillMs;
@@ -331,6 +384,9 @@
     return this.with({
       usedTokens: usedTokens + tickets.slotTokens(ticket),
       running: running + 1,
+      progressMs: running === 0 ? grantedMs : this.fields.progressMs,
+      expectedRunningMs:
+        this.fields.expectedRunningMs + this.expectedMs(ticket),
       prefills: this.fields.prefills.add(
         ticket.id,
         this.expectedPrefillMs(ticket),
@@ -348,6 +404,8 @@
     return this.with({
       usedTokens: usedTokens - tickets.slotTokens(ticket),
       running: running - 1,
+      expectedRunningMs:
+        (this.fields.expectedRunningMs * (running - 1)) / Math.max(1, running),
       hasSuspect: hasSuspect && !ticket.isSuspect,
       prefills: prefills.remove(ticket.id, wasAnswered, nowMs),
     });
@@ -365,6 +423,12 @@
     });
   }
 
+  /** Records whether the runner states that it is brittle, and the part of its slots that may be used then. */
+  withBrittle(brittlePart: number | undefined): Runner {
+    const isSame = brittlePart === this.fields.brittlePart;
+    return isSame ? this : this.with({brittlePart});
+  }
+
   /** Counts a start at `nowMs` against the runner's limit. */
   countStart(nowMs: number): Runner {
     const {startRate} = this.fields;
@@ -438,6 +502,7 @@
       consecutiveFailures,
       retryAtMs: nowMs + backoffMs,
       prefixCache: prefixcache.PrefixCacheEstimate.empty,
+      completions: 0,
     });
   }
 
@@ -483,10 +548,16 @@
 
   /** Applies the measurement of a completed attempt. */
   recordSuccess(measured: pace.Measurement, nowMs: number): Runner {
+    const {slowdownPercent, reportAgeMs = 0} = measured;
+    const atMs = nowMs - reportAgeMs;
+    const {slowdown} = this.fields;
     return this.withReportedUse(measured.inUse, nowMs).with({
+      slowdown: slowdowns.latest(slowdown, slowdownPercent, atMs),
+      progressMs: nowMs,
       state: this.fields.state === 'leaving' ? 'leaving' : 'live',
       consecutiveFailures: 0,
       brokenInARow: 0,
+      completions: this.fields.completions + 1,
       pace: pace.updatePace(this.fields.pace, measured),
     });
   }
--- a/packages/decisions/src/waitestimate.ts
+++ b/packages/decisions/src/waitestimate.ts
@@ -74,8 +74,10 @@
 
   /** Returns how long the ticket would occupy the whole cell if it were spread over all runners; tickets behind it wait that much longer. */
   cellTimeMs(ticket: tickets.Ticket, nowMs: number): number {
-    // Versions are served by some of the runners, so their tickets are not compared with the capacity of all.
-    if (ticket.version !== '') return this.newCellTimeMs(ticket, nowMs);
+    // Tickets that only some of the runners serve are not compared with the capacity of all.
+    if (ticket.version !== '' || tickets.hasExclusions(ticket)) {
+      return this.newCellTimeMs(ticket, nowMs);
+    }
     const {capacityPerMs, startsPerMs} = this.capacity(ticket, nowMs);
     if (capacityPerMs === 0) return 0;
     let known = workByTicket.get(ticket);
@@ -234,7 +236,10 @@
     nowMs: number,
   ): readonly {readonly ticket: tickets.Ticket; readonly waitMs: number}[] {
     const [first] = sorted;
-    const any = {...first, version: '', allowedRegions: undefined};
+    const any = {
+      ...{...first, version: ''},
+      ...{allowedRegions: undefined, excluded: undefined},
+    };
     const backlog = this.backlog(() => 0, any, nowMs);
     return sorted.map(ticket => {
       const waitMs = this.leastWaitMs(backlog, ticket, nowMs);
@@ -273,7 +278,7 @@
     nowMs: number,
   ): void {
     const {capacityPerMs} =
-      ticket.version === ''
+      ticket.version === '' && !tickets.hasExclusions(ticket)
         ? this.capacity(ticket, nowMs)
         : capacityOf(this.usableRunners(ticket, nowMs));
     const work = this.cellTimeMs(ticket, nowMs) * capacityPerMs;
@@ -317,10 +322,14 @@
 }
 
 /** Returns a key that is equal for tickets that the same runners serve. */
-function kindOf({version, allowedRegions}: tickets.Ticket): string {
-  return allowedRegions === undefined
-    ? version
-    : `${regions.keyOf(allowedRegions)}${version}`;
+function kindOf({
+  version,
+  allowedRegions,
+  excluded = [],
+}: tickets.Ticket): string {
+  const restriction =
+    allowedRegions === undefined ? '' : regions.keyOf(allowedRegions);
+  return [`${restriction}${version}`, ...excluded].join('\n');
 }
 
 function capacityOf(usable: readonly runners.Runner[]): Capacity {
--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -2,6 +2,8 @@
  * Sends an accepted request to backend servers, with retries, and relays the
  * response to the caller.
  */
+import * as timers from 'node:timers/promises';
+
 import * as decisions from '@banyanhall/decisions';
 import type * as crashesModule from '@banyanhall/fleet/crashes.js';
 import type * as slotsModule from '@banyanhall/fleet/slots.js';
@@ -11,6 +13,7 @@
 import type * as coldservers from './coldservers.js';
 import type * as fleetlimits from './fleetlimits.js';
 import type * as callerresponses from './callerresponse.js';
+import * as backoffs from './backoffs.js';
 import * as directories from './directory.js';
 import * as failures from './failures.js';
 import type * as logs from './logs.js';
@@ -20,9 +23,9 @@
 import type * as rollouts from './rollouts.js';
 import type * as serverlimits from './serverlimits.js';
 import * as shutdowns from './shutdown.js';
+import * as serverreports from './serverreports.js';
 import * as silences from './silence.js';
 import * as suspectrejections from './suspectrejections.js';
-import * as unreadablestatements from './unreadablestatements.js';
 
 /** The maximum number of attempts of a request whatever its route allows, including attempts refused by backend servers. */
 const MAX_ATTEMPTS = 4;
@@ -31,6 +34,8 @@
 /** The time without a response after which an idempotent request is to be retried, as a multiple of its latency objective. */
 const RESPONSE_SILENCE_FACTOR = 2.5;
 const MIN_RESPONSE_SILENCE_MS = 300;
+/** How long a request waits before it asks a keeper again that granted a slot on an excluded backend server. */
+const REGRANT_MS = 50;
 /** The minimum time before the deadline for a retry. */
 const MIN_RETRY_TIME_MS = 60;
 /** An attempt without a first byte for this long counts against the backend server even if it ends because the caller disconnected or the deadline passed. */
@@ -154,14 +159,14 @@
 
 /** Dispatches requests to backend servers and relays the responses. */
 export class Dispatcher {
+  /** What answers tell of backend servers. */
+  readonly reports: serverreports.ServerReports;
+
   /** The number of slot requests so far. */
   private slotRequests = 0;
 
-  private readonly unreadable: unreadablestatements.UnreadableStatements;
-
   constructor(private readonly options: DispatcherOptions) {
-    const {log} = options;
-    this.unreadable = new unreadablestatements.UnreadableStatements(log);
+    this.reports = new serverreports.ServerReports(options);
   }
 
   /**
@@ -261,6 +266,11 @@
     if (!this.options.shutdown.hasTimeFor(accepted)) {
       return this.giveUpForStop(progress);
     }
+    const {isTotal, firstMs} = this.reports.backoffs.in(pool, accepted);
+    if (isTotal) {
+      const detail = `${pool.backendServers.length} servers${this.describe(accepted, pool)}`;
+      return this.giveUp(progress, backoffs.REASON, firstMs, detail);
+    }
     const isCounted = progress.attempts === 0 || progress.isRetryCounted;
     progress.isRetryCounted = false;
     if (!isCounted && !this.tryCountRetry(accepted, progress)) {
@@ -274,7 +284,7 @@
       if (!(error instanceof decisions.verdict.FailureError)) throw error;
       const {type, retryAfterMs} = error.failure;
       const waitedMs = this.nowMs - accepted.received.arrivedMs;
-      const detail = `tier ${accepted.tier}, ${pool.backendServers.length} servers, waited ${Math.round(waitedMs)} ms${this.options.limits.describe(pool)}${regionsModule.describe(accepted)}`;
+      const detail = `tier ${accepted.tier}, ${pool.backendServers.length} servers, waited ${Math.round(waitedMs)} ms${this.describe(accepted, pool)}`;
       if (signal.aborted) return this.endAborted(progress, signal, detail);
       const next = regions.poolFor(accepted, usesCandidate)?.pool;
       if (type === 'no-backend-server' && next && next.name !== pool.name) {
@@ -301,6 +311,9 @@
         (this.nowMs - accepted.received.arrivedMs) / 1000,
       );
       const entry = directory.entry(grant.server.name);
+      if (entry && this.reports.backoffs.remainingMs(entry) > 0) {
+        return this.returnSlot(accepted, progress, grant, slotRequest);
+      }
       if (!entry || !cold.trySend(entry.id)) {
         slots.done(grant.ticketId, entry ? CANCELLED : GONE);
         progress.isRetryCounted = progress.attempts > 0;
@@ -325,6 +338,22 @@
     }
   }
 
+  /** Gives back a slot on a backend server that accepts nothing from this host now; the next slot request excludes the server. */
+  private async returnSlot(
+    accepted: requests.AcceptedRequest,
+    progress: Progress,
+    {ticketId, server}: slotsModule.Grant,
+    {excluded}: slotsModule.SlotRequest,
+  ): Promise<RetryDecision> {
+    const {slots, metrics} = this.options;
+    slots.giveBack(ticketId);
+    metrics.returnedSlots.inc({service: accepted.service});
+    progress.isRetryCounted = progress.attempts > 0;
+    // A keeper of an older build ignores the exclusion and would grant the slot again at once.
+    if (excluded?.includes(server.name)) await timers.setTimeout(REGRANT_MS);
+    return RETRY;
+  }
+
   /** Sends the next attempt to the backend server whose slot is held, and relays its response. */
   private async send(
     placement: Placement,
@@ -385,7 +414,7 @@
     signal: AbortSignal,
     onConnected?: () => void,
   ): Promise<forwarding.upstream.AttemptResult> {
-    const {cold, dialect, upstream, log, metrics, statements} = this.options;
+    const {cold, dialect, upstream, log} = this.options;
     const {received, route} = accepted;
     const {names} = dialect;
     const {entry, grant} = attempt;
@@ -397,9 +426,7 @@
     if (progress.lastEventId !== undefined) {
       addedHeaders[names.lastEventId] = progress.lastEventId;
     }
-    const start = directories.startOf(entry);
-    const limitPerS = statements.valueOf(start, 'limit');
-    const sentRevisions = statements.revisionsOf(start);
+    const known = this.reports.beforeSend(entry);
     log.event('sent', received.id, {
       server: entry.id,
       address: entry.address,
@@ -409,10 +436,9 @@
       leftMs,
       waitedMs: Math.round(attempt.sentMs - received.arrivedMs),
       heldBackMs: grant.heldBackMs || undefined,
-      limitPerS,
+      ...known.logFields,
       coldPerS: cold.limitPerSOf(entry.id),
     });
-    if (limitPerS !== undefined) metrics.limitedSends.inc({server: entry.id});
     const result = await upstream.send(
       {
         address: entry.address,
@@ -422,7 +448,7 @@
         body: received.body,
         requestId: received.id,
         isRepeat: attempt.isRepeat,
-        known: {limit: limitPerS},
+        known: known.statements,
         allowedRegions: accepted.allowedRegions,
         onConnected: isCarried => {
           attempt.way.isCarried = isCarried;
@@ -433,12 +459,7 @@
       },
       AbortSignal.any([signal, attempt.cut.signal]),
     );
-    if (result.statements) {
-      this.unreadable.report(entry, result.statements.unreadable);
-      statements.onAnswer(
-        ...([received.id, start, sentRevisions, result.statements] as const),
-      );
-    }
+    this.reports.afterSend(entry, received.id, known, result);
     return result;
   }
 
@@ -536,6 +557,7 @@
       isSuspect: this.standingOf(accepted).status !== 'clear',
       avoid: progress.triedServers,
       allowedRegions: accepted.allowedRegions,
+      excluded: this.reports.backoffs.in(pool, accepted).excluded,
     };
   }
 
@@ -666,6 +688,7 @@
     const {status} = this.standingOf(accepted);
     return (
       !progress.triedServers.includes(entry.id) &&
+      this.reports.backoffs.remainingMs(entry) === 0 &&
       this.options.regions.allows(accepted, entry) &&
       (status === 'clear' || (status === 'suspect' && isSuspect)) &&
       this.nowMs < this.callerGivesUpMs(accepted, progress) &&
@@ -732,6 +755,7 @@
   ): Promise<RetryDecision> {
     const {response} = head;
     const status = response.statusCode ?? 0;
+    const headMs = this.nowMs;
     const {holding} = progress;
     const body = await forwarding.upstream.readBody(head, holding);
     const isSuccess = status >= OK && status < 300;
@@ -753,7 +777,7 @@
       outputTokens: directories.PLAIN_REQUEST_TOKENS,
       firstTokenMs: 0,
       durationMs,
-      inUse: inUseOf(head.load),
+      ...failures.reportOf(head.load, this.nowMs - headMs),
     };
     this.options.slots.done(
       attempt.grant.ticketId,
@@ -763,7 +787,10 @@
     if (!isFailure) this.recordCompletion(accepted);
     if (isFailure) {
       progress.mayHaveRun = true;
-      progress.isRetryCounted = this.tryCountRetry(accepted, progress);
+      // While no server accepts requests, this response is worth more than a rejection.
+      progress.isRetryCounted =
+        this.hasAcceptingServer(accepted, attempt) &&
+        this.tryCountRetry(accepted, progress);
       if (progress.isRetryCounted) return RETRY;
     }
     if (caller.isStarted) {
@@ -785,6 +812,7 @@
     signal: AbortSignal,
   ): Promise<RetryDecision> {
     const {response} = head;
+    const headMs = this.nowMs;
     const {holding} = progress;
     const isResumable = accepted.route.isResumable;
     const framer = new forwarding.events.EventFramer();
@@ -873,7 +901,7 @@
         outputTokens,
         firstTokenMs,
         durationMs: nowMs - attempt.sentMs,
-        inUse: inUseOf(head.load),
+        ...failures.reportOf(head.load, nowMs - headMs),
       },
     });
     this.recordCompletion(accepted);
@@ -977,6 +1005,24 @@
     return this.options.fleetLimits.tryCountRetry(accepted.service);
   }
 
+  /** True if some backend server that the request may use accepts requests from this host. */
+  private hasAcceptingServer(
+    accepted: requests.AcceptedRequest,
+    {isCandidate}: Attempt,
+  ): boolean {
+    const choice = this.options.regions.poolFor(accepted, isCandidate);
+    if (!choice) return false;
+    return !this.reports.backoffs.in(choice.pool, accepted).isTotal;
+  }
+
+  /** Describes what limits a request to a pool, for the line of its refusal. */
+  private describe(
+    accepted: requests.AcceptedRequest,
+    pool: decisions.config.Service,
+  ): string {
+    return `${this.options.limits.describe(pool)}${this.reports.describe(pool, accepted)}${regionsModule.describe(accepted)}`;
+  }
+
   private isRetryAllowed(
     accepted: requests.AcceptedRequest,
     progress: Progress,
@@ -1133,13 +1179,6 @@
   }
 }
 
-/** The requests on a backend server, running and waiting, by its own load report. */
-function inUseOf(
-  load: forwarding.upstream.LoadReport | undefined,
-): number | undefined {
-  return load && load.running + load.waiting;
-}
-
 /** Throws unless an event with this id may go on with a stream after the event `after`. */
 function requireFollowing(id: string | undefined, after: string): void {
   if (forwarding.events.mayFollow(id, after)) return;
--- a/packages/gateway/src/failures.ts
+++ b/packages/gateway/src/failures.ts
@@ -1,5 +1,5 @@
 /*
- * What the failure of an attempt tells, and to whom it is reported.
+ * What the end of an attempt tells, and to whom it is reported.
  */
 import type * as decisions from '@banyanhall/decisions';
 import type * as forwarding from '@banyanhall/forwarding';
@@ -46,3 +46,16 @@
     ...{load: undefined, statements: undefined},
   };
 }
+
+/** What a response's load report of this age adds to the measurement of its attempt. */
+export function reportOf(
+  load: forwarding.loadreport.LoadReport | undefined,
+  reportAgeMs: number,
+): Pick<
+  decisions.pace.Measurement,
+  'inUse' | 'slowdownPercent' | 'reportAgeMs'
+> {
+  if (!load) return {};
+  const {running, waiting, slowdownPercent} = load;
+  return {inUse: running + waiting, slowdownPercent, reportAgeMs};
+}
--- a/packages/gateway/src/host.ts
+++ b/packages/gateway/src/host.ts
@@ -42,6 +42,7 @@
 import type * as requestbody from './requestbody.js';
 import * as rollouts from './rollouts.js';
 import * as serverlimits from './serverlimits.js';
+import * as serverstatements from './serverstatements.js';
 import * as shutdowns from './shutdown.js';
 import * as sidelisteners from './sidelisteners.js';
 import * as suspectrejections from './suspectrejections.js';
@@ -124,14 +125,6 @@
   readonly onListenerEnded?: (reason: string) => void;
 }
 
-/** What a host does with a change of each kind of statement. */
-type StatementHandlers = Readonly<
-  Record<
-    decisions.statement.StatementKind,
-    (change: statementsModule.StatementChange) => void
-  >
->;
-
 interface Part {
   start(): void;
   stop(): void;
@@ -184,10 +177,7 @@
   private isReadyLogged = false;
   private readonly verifiedHosts: verifiedhosts.VerifiedHosts;
   private readonly cutOffHosts = new addresses.CutOffHosts(this.clock);
-  private readonly statementHandlers: StatementHandlers = {
-    limit: change => this.serverLimits.onStatement(change),
-    leaving: change => this.onLeaving(change),
-  };
+  private readonly serverStatements: serverstatements.ServerStatements;
 
   constructor(private readonly options: HostOptions) {
     const {settings, log, dialect, metrics} = options;
@@ -291,6 +281,8 @@
       // Backend servers that leave are removed from the directory instead.
       serverList: {list: () => Promise.resolve([])},
       limitPerSOf: server => this.serverLimits.ownLimitPerSOf(server),
+      brittlePartOf: server =>
+        this.serverStatements.isBrittle(server) ? this.members.part : undefined,
       onOutcome: (server, outcome) =>
         this.coldServers.onOutcome(server, outcome),
     });
@@ -301,6 +293,7 @@
           ...{region, random},
           heldOn: server => this.slots.heldOn(server),
           limitPerSOf: server => this.serverLimits.limitPerSOf(server),
+          isBrittle: server => this.serverStatements.isBrittle(server),
         }),
       onUnanswered: keeper => this.members.probeUnresponsive(keeper),
     });
@@ -313,7 +306,7 @@
       targets: except => this.members.gossipTargets(except),
       keepersOf: start => this.keepersOf(start),
       isInUse: start => directory.entryOfStart(start) !== undefined,
-      onChange: change => this.onStatement(change),
+      onChange: change => this.serverStatements.onChange(change),
     });
     const onLimit = (server: string) => this.keeper.onLimit(server);
     const part = () => this.members.part;
@@ -326,6 +319,10 @@
       ...{directory, log, metrics, part, onChange: onLimit},
       ...{statements: this.statements, cold: this.coldServers},
     });
+    this.serverStatements = new serverstatements.ServerStatements({
+      ...{clock, log, metrics, directory, statements: this.statements},
+      ...{limits: this.serverLimits, onBrittle: onLimit},
+    });
     this.fleetLimits = new fleetlimits.FleetLimits({
       ...{host, clock, random, settings: settings.fleetLimits},
       members: serving,
@@ -821,22 +818,6 @@
     this.upstream.closeIdle(address);
   }
 
-  /** Applies and logs a change of what a backend server states, by kind. */
-  private onStatement(change: statementsModule.StatementChange): void {
-    this.statementHandlers[change.kind](change);
-  }
-
-  /** Stops using a backend server that leaves. */
-  private onLeaving(change: statementsModule.StatementChange): void {
-    const {server: start, after, from, requestId} = change;
-    if (after === undefined) return;
-    const {log, metrics} = this.options;
-    const server = directories.idOfStart(start);
-    log.event('server-leaving', requestId, {server, from: from || 'answer'});
-    metrics.leavingServers.inc();
-    this.directory.onLeaving(start);
-  }
-
   private respondWithAddresses(
     target: string,
     response: http.ServerResponse,
@@ -888,6 +869,8 @@
     callerrequests.reportHeld(
       ...([metrics, this.buffers, this.callers, callerBounds] as const),
     );
+    this.serverStatements.setGauges();
+    this.dispatcher.reports.setGauges();
     const refused = this.crashes.refusedParts.length;
     metrics.setGauge('refused_parts', 'Prompt parts refused.', refused);
     const {lowestTokens} = this.allowances;
--- a/packages/gateway/src/logs.ts
+++ b/packages/gateway/src/logs.ts
@@ -21,6 +21,8 @@
   | 'server-cold'
   | 'evacuation'
   | 'server-leaving'
+  | 'server-brittle'
+  | 'server-backoff'
   | 'link-cut'
   | 'link-restored'
   | 'host'
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -76,6 +76,11 @@
     'Starts of backend servers that stated that they leave.',
     [],
   );
+  readonly returnedSlots = this.counter(
+    'banyanhall_returned_slots_total',
+    'Slots given back as their backend server accepts nothing from this host for a time, by service.',
+    ['service'],
+  );
   readonly coldServers = new prom.Gauge({
     name: 'banyanhall_cold_servers',
     help: 'Backend servers that are sent less as they are cold.',
--- a/packages/gateway/src/serverlimits.ts
+++ b/packages/gateway/src/serverlimits.ts
@@ -54,7 +54,7 @@
     const server = directories.idOfStart(start);
     log.event('server-limit', requestId, {
       ...{server, limitPerS: after, before},
-      change: limitChange(before, after),
+      change: changeOf(before, after),
       from: from || 'answer',
       beforeAgeMs: Math.round(ageMs),
     });
@@ -85,7 +85,8 @@
   }
 }
 
-function limitChange(
+/** Describes a change of a stated value, for the log. */
+export function changeOf(
   before: number | undefined,
   after: number | undefined,
 ): 'stated' | 'changed' | 'lifted' {
