Attempts that fail name their connection

A copy of an earlier refusal could not be told from a second refusal: the line of an attempt that failed named the backend server, the cause and the verdict, but not the connection, nor what that had carried before. The line send-failed now has connection and connectionRequests.

--- a/packages/forwarding/src/connections.ts
+++ b/packages/forwarding/src/connections.ts
@@ -20,6 +20,39 @@
   readonly allowedRegions?: readonly string[];
 }
 
+/** Which request of which connection an attempt is. */
+export interface ConnectionUse {
+  /** Numbers the connections of this process. */
+  readonly connection: number;
+  /** The number of requests that the connection has carried, this one included. */
+  readonly requests: number;
+  /** True if the connection leads through another host. */
+  readonly isCarried: boolean;
+}
+
+/** Numbers connections and counts the requests that they carry. */
+export class ConnectionUses {
+  private readonly uses = new WeakMap<stream.Duplex, ConnectionUse>();
+  private openedCount = 0;
+
+  /** The number of connections that have carried a request. */
+  get opened(): number {
+    return this.openedCount;
+  }
+
+  /** Counts a request on a connection. */
+  count(socket: stream.Duplex): ConnectionUse {
+    const known = this.uses.get(socket);
+    const use: ConnectionUse = {
+      connection: known?.connection ?? ++this.openedCount,
+      requests: (known?.requests ?? 0) + 1,
+      isCarried: isCarried(socket),
+    };
+    this.uses.set(socket, use);
+    return use;
+  }
+}
+
 /** Opens connections over the paths to backend servers; without paths, directly. */
 class PathAgent extends http.Agent {
   /**
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -1,6 +1,7 @@
 export * as buffers from './buffers.js';
 export * as carriers from './carriers.js';
 export * as clientrequest from './clientrequest.js';
+export type * as connections from './connections.js';
 export * as events from './events.js';
 export * as headers from './headers.js';
 export * as loadreport from './loadreport.js';
--- a/packages/forwarding/src/upstream.ts
+++ b/packages/forwarding/src/upstream.ts
@@ -61,8 +61,8 @@
   readonly allowedRegions?: readonly string[];
   /** What the backend server is known to state; holds if its answer can't be read. */
   readonly known?: statementReaders.KnownStatements;
-  /** Called when the connection is established, by way of another host if `isCarried`: from then on the backend server may run the request. */
-  readonly onConnected?: (isCarried: boolean) => void;
+  /** Called when the connection is established: from then on the backend server may run the request. */
+  readonly onConnected?: (use: connections.ConnectionUse) => void;
   /** Called while the request is in flight if this host's own link, over which it was sent, is found to be cut. */
   readonly onCut?: () => void;
 }
@@ -122,7 +122,7 @@
   private readonly kept: connections.Connections;
   /** For repeats at the same backend server: its answer to the attempt before has the same id, and may come twice. */
   private readonly singleUse: connections.SingleUseConnections;
-  private openedCount = 0;
+  private readonly uses = new connections.ConnectionUses();
 
   /** Without `ways`, connections are those of this host only. */
   constructor(
@@ -143,7 +143,7 @@
 
   /** The number of connections opened since the start. */
   get connectionsOpened(): number {
-    return this.openedCount;
+    return this.uses.opened;
   }
 
   /** Sends a request; resolves when the response head arrives or the attempt fails. */
@@ -223,16 +223,15 @@
           socket.removeListener('error', onSocketError);
           socket.removeListener('end', onSocketEnd);
         });
+        const use = this.uses.count(socket);
         const onConnected = () => {
           isConnected = true;
-          const isCarried = connections.isCarried(socket);
-          outbound.onConnected?.(isCarried);
-          if (!this.ways || isCarried) return;
+          outbound.onConnected?.(use);
+          if (!this.ways || use.isCarried) return;
           const onCut = () => outbound.onCut?.();
           const unwatch = this.ways.watch(outbound.address, socket, onCut);
           request.once('close', unwatch);
         };
-        if (!request.reusedSocket) this.openedCount++;
         if (!socket.connecting) return onConnected();
         socket.once('connect', onConnected);
       });
--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -90,8 +90,8 @@
 
 /** How an attempt is sent to its backend server. */
 interface Way {
-  /** True if it is sent by way of another host. */
-  isCarried: boolean;
+  /** The connection that carries it; undefined until there is one. */
+  use: forwarding.connections.ConnectionUse | undefined;
 }
 
 /** One dispatch of a request to a backend server. */
@@ -402,7 +402,7 @@
     });
     const cut = new AbortController();
     const sentMs = this.nowMs;
-    const way = {isCarried: false};
+    const way = {use: undefined};
     return {...placement, number, isRepeat, sentMs, way, tracked, cut};
   }
 
@@ -450,8 +450,8 @@
         isRepeat: attempt.isRepeat,
         known: known.statements,
         allowedRegions: accepted.allowedRegions,
-        onConnected: isCarried => {
-          attempt.way.isCarried = isCarried;
+        onConnected: use => {
+          attempt.way.use = use;
           onConnected?.();
         },
         // What hangs on a link that is cut must not keep the slot from others.
@@ -949,6 +949,8 @@
       cause: failure.cause,
       verdict: failure.verdict,
       detail: failure.detail,
+      connection: attempt.way.use?.connection,
+      connectionRequests: attempt.way.use?.requests,
       afterMs: Math.round(this.nowMs - attempt.sentMs),
     });
     this.countAttempt(accepted, failure.cause);
@@ -981,7 +983,7 @@
   /** Resolves to whether the backend server of an attempt that broke off accepts connections from no host. */
   private async hasCrashed({entry, way}: Attempt): Promise<boolean> {
     const {paths} = this.options;
-    if (way.isCarried) return paths.isRefusedByAll(entry.address);
+    if (way.use?.isCarried) return paths.isRefusedByAll(entry.address);
     return (await paths.examine(entry.address)) === 'refused';
   }
 
@@ -992,7 +994,7 @@
   ): boolean {
     const {paths} = this.options;
     if (cause === 'connect-failed') return !paths.isUnreachable(entry.address);
-    if (way.isCarried) return failures.CARRIER_FAILURES.has(cause);
+    if (way.use?.isCarried) return failures.CARRIER_FAILURES.has(cause);
     return failures.LINK_FAILURES.has(cause) && paths.isCut(entry.address);
   }
 
