A request is sent on no connection that has carried it

What callers saw: a request that may run once ran twice (TWICE), or its caller was told "not run" although it ran (REFUSED). In a service with one server, all further requests were then refused as well, since the server was taken for one that had left.

Cause: an answer names its request, not the attempt, so a late copy of a refusal passes for the answer to the next attempt on the same connection. Repeats got a connection of their own only if the same *entry* had been tried, whereas idle connections are kept by *address*: after a 421 to what was meant for a server's predecessor, the new entry of the address got the very connection of the refusal.

Fix: what a connection has carried decides. A request remembers the connections of all its attempts, and gets a new one where an idle one has carried it. This is an invariant of the class that keeps connections, so it holds for each way to a repeat: retries, repeats beside a silent attempt, resumed streams and connections through other hosts. The flag isRepeat, a guess by entry, is gone; the test that used it now passes the connections and checks the same counts, for a 503 marked as not run and for a 421.

--- a/packages/forwarding/src/connections.ts
+++ b/packages/forwarding/src/connections.ts
@@ -101,10 +101,18 @@
   }
 }
 
+/** The connections that have carried one request, over all of its attempts. */
+export type CarriedBy = WeakSet<stream.Duplex>;
+
 /**
  * Keeps idle connections for further requests. One on which anything arrives
  * while it is idle is closed: a backend server that writes an answer twice
  * would have it taken for the answer to the next request.
+ *
+ * Invariant: no connection carries a request twice. An answer names its request,
+ * not the attempt, so that a late copy of the answer to one attempt would be
+ * taken for the answer to the next. The caller of this class keeps to it by
+ * `mayCarryTwice`, and by recording in `CarriedBy` what it sends.
  */
 export class Connections extends PathAgent {
   /** The backend servers of the connections that are kept idle. */
@@ -147,6 +155,12 @@
     super.reuseSocket(socket, request);
   }
 
+  /** True if a request with these options may get an idle connection that has carried it. */
+  mayCarryTwice(options: PathRequestArgs, carriedBy: CarriedBy): boolean {
+    const idle = this.freeSockets[this.getName(options)] ?? [];
+    return idle.some(socket => carriedBy.has(socket));
+  }
+
   /** Closes the idle connections for which `isMeant` holds, by the backend server that they lead to. */
   closeIdle(
     isMeant: (socket: stream.Duplex, address: string) => boolean,
--- a/packages/forwarding/src/endless.test.ts
+++ b/packages/forwarding/src/endless.test.ts
@@ -85,7 +85,7 @@
       {
         ...{address: `127.0.0.1:${port}`, method: 'GET', path: '/'},
         headers: ['Host', 'test', 'X-Id', ID],
-        ...{body: Buffer.alloc(0), requestId: ID, isRepeat: false},
+        ...{body: Buffer.alloc(0), requestId: ID, carriedBy: new WeakSet()},
       },
       AbortSignal.timeout(10 * CLOSED_WITHIN_MS),
     );
--- a/packages/forwarding/src/upstream.test.ts
+++ b/packages/forwarding/src/upstream.test.ts
@@ -2,6 +2,7 @@
 import * as net from 'node:net';
 import * as test from 'node:test';
 
+import type * as connections from './connections.js';
 import type * as headers from './headers.js';
 import * as upstreams from './upstream.js';
 
@@ -32,7 +33,10 @@
 async function withServer(
   script: Script,
   check: (
-    send: (id: string, isRepeat?: boolean) => Promise<upstreams.AttemptResult>,
+    send: (
+      id: string,
+      carriedBy?: connections.CarriedBy,
+    ) => Promise<upstreams.AttemptResult>,
     server: net.Server,
   ) => Promise<void>,
 ): Promise<void> {
@@ -46,10 +50,10 @@
   });
   const {port} = server.address() as net.AddressInfo;
   const upstream = new upstreams.Upstream(NAMES);
-  const send = (id: string, isRepeat = false) =>
+  const send = (id: string, carriedBy: connections.CarriedBy = new WeakSet()) =>
     upstream.send(
       {
-        isRepeat,
+        carriedBy,
         address: `127.0.0.1:${port}`,
         method: 'GET',
         path: '/',
@@ -229,29 +233,62 @@
 const REFUSAL =
   'HTTP/1.1 503 Busy\r\nX-Id: a\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n';
 
+const MISDIRECTED =
+  'HTTP/1.1 421 Misdirected\r\nX-Id: a\r\nContent-Length: 0\r\n\r\n';
+
 function answerTo(id: string): string {
   return `HTTP/1.1 200 OK\r\nX-Id: ${id}\r\nContent-Length: 2\r\n\r\n${id}!`;
 }
 
 const pause = (ms: number) => new Promise(resolve => setTimeout(resolve, ms));
 
-// Guards against "not run" for a request that runs: its earlier refusal is written once more.
-test.test('a repeat of a refused request gets a connection of its own', () => {
-  let connections = 0;
-  let runs = 0;
+// Guards against "not run" for a request that runs: its earlier refusal is written once more (TWICE).
+for (const [name, refusal] of [
+  ['not run', REFUSAL],
+  ['misdirected', MISDIRECTED],
+] as const) {
+  test.test(`a request refused as ${name} changes its connection`, () => {
+    let connectionCount = 0;
+    let runs = 0;
+    return withServer(
+      (socket, requests) => {
+        if (requests > 1) socket.write(refusal);
+        else connectionCount++;
+        if (connectionCount === 1) return void socket.write(refusal);
+        runs++;
+        socket.write(answerTo('a'));
+      },
+      async send => {
+        const carriedBy: connections.CarriedBy = new WeakSet();
+        assert.equal(failed(await send('a', carriedBy)).verdict, 'not-run');
+        await pause(20);
+        const body = await upstreams.readBody(
+          answered(await send('a', carriedBy)),
+        );
+        assert.equal(body?.toString(), 'a!');
+        assert.deepEqual(
+          {connectionCount, runs},
+          {connectionCount: 2, runs: 1},
+        );
+      },
+    );
+  });
+}
+
+// Guards against a new connection for every request after a refusal, which costs its backend server.
+test.test('another request goes on the connection of a refusal', () => {
+  let connectionCount = 0;
   return withServer(
     (socket, requests) => {
-      if (requests > 1) socket.write(REFUSAL);
-      else connections++;
-      if (connections === 1) return void socket.write(REFUSAL);
-      runs++;
-      socket.write(answerTo('a'));
+      if (requests === 1) connectionCount++;
+      socket.write(requests === 1 ? REFUSAL : answerTo('b'));
     },
     async send => {
       assert.equal(failed(await send('a')).verdict, 'not-run');
-      const body = await upstreams.readBody(answered(await send('a', true)));
-      assert.equal(body?.toString(), 'a!');
-      assert.deepEqual({connections, runs}, {connections: 2, runs: 1});
+      await pause(20);
+      const body = await upstreams.readBody(answered(await send('b')));
+      assert.equal(body?.toString(), 'b!');
+      assert.equal(connectionCount, 1);
     },
   );
 });
@@ -353,7 +390,7 @@
       {
         ...{address: '127.0.0.1:1', method: 'GET', path: '/'},
         ...{headers: [], body: Buffer.alloc(0), requestId: 'a'},
-        isRepeat: false,
+        carriedBy: new WeakSet(),
         ...change,
       },
       new AbortController().signal,
--- a/packages/forwarding/src/upstream.ts
+++ b/packages/forwarding/src/upstream.ts
@@ -55,8 +55,8 @@
   readonly headers: headerNames.RawHeaders;
   readonly body: Buffer;
   readonly requestId: string;
-  /** True when the request was sent to this backend server before. */
-  readonly isRepeat: boolean;
+  /** The connections that carried earlier attempts of the request; that of this attempt is added. */
+  readonly carriedBy: connections.CarriedBy;
   /** The regions of the hosts through which it may be sent; undefined means all. */
   readonly allowedRegions?: readonly string[];
   /** What the backend server is known to state; holds if its answer can't be read. */
@@ -120,7 +120,7 @@
  */
 export class Upstream {
   private readonly kept: connections.Connections;
-  /** For repeats at the same backend server: its answer to the attempt before has the same id, and may come twice. */
+  /** For requests that an idle connection has carried before. */
   private readonly singleUse: connections.SingleUseConnections;
   private readonly uses = new connections.ConnectionUses();
 
@@ -211,6 +211,7 @@
         );
       };
       request.on('socket', socket => {
+        outbound.carriedBy.add(socket);
         socket.setNoDelay(true);
         // A reset that arrives with the last bytes is reported as a normal end;
         // only the missing remote address tells them apart.
@@ -279,7 +280,6 @@
   private open(outbound: OutboundRequest): http.ClientRequest {
     const [host, port] = outbound.address.split(':');
     const options: connections.PathRequestArgs = {
-      agent: outbound.isRepeat ? this.singleUse : this.kept,
       host,
       port: Number(port),
       method: outbound.method,
@@ -288,7 +288,9 @@
       setHost: false,
       allowedRegions: outbound.allowedRegions,
     };
-    return http.request(options);
+    const mayCarryTwice = this.kept.mayCarryTwice(options, outbound.carriedBy);
+    const agent = mayCarryTwice ? this.singleUse : this.kept;
+    return http.request({...options, agent});
   }
 
   /** Closes the idle connections to a backend server, whose path has changed. */
--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -97,8 +97,6 @@
 /** One dispatch of a request to a backend server. */
 interface Attempt extends Placement {
   readonly number: number;
-  /** True when an earlier attempt went to the same backend server. */
-  readonly isRepeat: boolean;
   readonly sentMs: number;
   readonly way: Way;
   readonly tracked: crashesModule.TrackedRequest;
@@ -138,6 +136,8 @@
   refusedRepeats: number;
   /** The backend servers of all attempts; the keeper avoids them for a retry. */
   readonly triedServers: string[];
+  /** The connections of all attempts. */
+  readonly carriedBy: forwarding.connections.CarriedBy;
   lastEventId: string | undefined;
   /** When part of a stream's body was last relayed to the caller; undefined before. */
   relayedMs: number | undefined;
@@ -198,6 +198,7 @@
       repeat: undefined,
       refusedRepeats: 0,
       triedServers: [],
+      carriedBy: new WeakSet(),
       lastEventId: forwarding.headers.value(
         received.headers,
         this.options.dialect.names.lastEventId,
@@ -391,7 +392,6 @@
     const {entry} = placement;
     const {received} = accepted;
     const number = ++progress.attempts;
-    const isRepeat = progress.triedServers.includes(entry.id);
     progress.triedServers.push(entry.id);
     progress.isWaiting = false;
     if (number > 1)
@@ -403,7 +403,7 @@
     const cut = new AbortController();
     const sentMs = this.nowMs;
     const way = {use: undefined};
-    return {...placement, number, isRepeat, sentMs, way, tracked, cut};
+    return {...placement, number, sentMs, way, tracked, cut};
   }
 
   /** Sends an attempt; resolves to the head of its response, or to its failure. */
@@ -447,7 +447,7 @@
         headers: requests.outboundHeaders(accepted, dialect, addedHeaders),
         body: received.body,
         requestId: received.id,
-        isRepeat: attempt.isRepeat,
+        carriedBy: progress.carriedBy,
         known: known.statements,
         allowedRegions: accepted.allowedRegions,
         onConnected: use => {
