A host gives up a link when its peer opens a new one

What callers saw: after all links between hosts had fallen silent without a reset, as after a loss of power beyond a switch, the hosts stayed apart for as long as they ran. They held each other to be dead and alive in turn, keepers and hubs changed with that, and each slot request to a keeper behind such a link waited for its 150 ms; where only the keeper may grant (a server that states a limit or that it is brittle, a suspect request) until its deadline.

Cause: a host drops a link when it misses a probe and has heard nothing for 1.2 s. Whichever host does so first opens a new link and is heard on it, so the other one never finds its own link silent and sends its acks and everything else on it for good. The same holds where only the links to one host are dead.

So when one is accepted, the link that this host has to the same peer is one that the peer has given up; it is closed, requests that may be lost on it are sent again, and the new one is used. Links that are opened within a second of each other are both kept, as at the start of a fleet.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -87,6 +87,7 @@
         this.router.handle(from, item);
       },
       onLinkDown: peer => this.onLinkDown(peer),
+      onLinkReplaced: peer => this.slots.onLinkDown(peer),
     });
     this.router = new routers.Router({
       host,
--- a/packages/gateway/src/host.ts
+++ b/packages/gateway/src/host.ts
@@ -202,6 +202,7 @@
         this.members.onLinkDown(peer);
         this.slots.onLinkDown(peer);
       },
+      onLinkReplaced: peer => this.slots.onLinkDown(peer),
       onTunnel: (from, address) => this.tunnels.accept(from, address),
     });
     this.router = new routers.Router({
--- a/packages/peers/src/links.test.ts
+++ b/packages/peers/src/links.test.ts
@@ -1,5 +1,6 @@
 import * as assert from 'node:assert/strict';
 import * as test from 'node:test';
+import * as timers from 'node:timers/promises';
 
 import * as selfsigned from 'selfsigned';
 
@@ -84,6 +85,39 @@
   close(a, b);
 });
 
+// Guards against hosts that open links at once and close each other's, with the messages on them.
+test.test('links that are opened at the same time are both kept', async () => {
+  const replaced: string[] = [];
+  const onLinkReplaced = (peer: string) => replaced.push(peer);
+  const a = await listen('a', {onLinkReplaced});
+  const b = await listen('b', {onLinkReplaced});
+  a.links.send('b', b.address, detachMessage('1'));
+  b.links.send('a', a.address, detachMessage('2'));
+  await waitUntil(() => a.received.length + b.received.length === 2);
+  a.links.send('b', b.address, detachMessage('3'));
+  b.links.send('a', a.address, detachMessage('4'));
+  await waitUntil(() => a.received.length + b.received.length === 4);
+  assert.deepEqual([a.downPeers, b.downPeers, replaced], [[], [], []]);
+  close(a, b);
+});
+
+// Guards against a host whose requests stay lost on a link that its peer has given up, as it is not told to send them again.
+test.test('a link that its peer opens anew replaces the old one', async () => {
+  const replaced: string[] = [];
+  const a = await listen('a', {onLinkReplaced: peer => replaced.push(peer)});
+  const [b, restarted] = [await listen('b'), await listen('b')];
+  a.links.send('b', b.address, detachMessage('1'));
+  await waitUntil(() => b.received.length === 1);
+  await timers.setTimeout(1100);
+  restarted.links.send('a', a.address, detachMessage('2'));
+  await waitUntil(() => a.received.length === 1);
+  assert.deepEqual([replaced, a.downPeers], [['b'], []]);
+  a.links.send('b', b.address, detachMessage('3'));
+  await waitUntil(() => restarted.received.length === 1);
+  assert.deepEqual(b.received, ['a: 1']);
+  close(a, b, restarted);
+});
+
 test.test(
   'hosts with TLS exchange messages and reject a host without it',
   async () => {
--- a/packages/peers/src/links.ts
+++ b/packages/peers/src/links.ts
@@ -11,6 +11,8 @@
 const MAX_OUTBOX_MESSAGES = 20_000;
 const INITIAL_RECONNECT_BACKOFF_MS = 100;
 const MAX_RECONNECT_BACKOFF_MS = 1000;
+/** Two hosts that open links to each other within this time keep both, as neither has given up a link. */
+const SIMULTANEOUS_MS = 1000;
 
 // Errors come through callbacks; the library would write them to standard error as well.
 grpc.setLogVerbosity(grpc.logVerbosity.NONE);
@@ -49,6 +51,8 @@
   readonly onMessage: (from: string, message: messages.Message) => void;
   /** Called when the current link to a host breaks or is dropped; messages in flight may be lost. */
   readonly onLinkDown: (peer: string) => void;
+  /** Called when a host that is alive has opened a new link in place of the current one; messages in flight may be lost. */
+  readonly onLinkReplaced?: (peer: string) => void;
   /** Connects a tunnel of another host; without this function all are refused. */
   readonly onTunnel?: tunnels.TunnelAcceptor;
 }
@@ -75,6 +79,8 @@
 interface Link {
   readonly stream: LinkStream;
   readonly client?: grpc.Client;
+  /** When it was opened or accepted, on the monotonic clock. */
+  readonly sinceMs: number;
 }
 
 /** A connection to another host for tunnels through it. */
@@ -237,7 +243,7 @@
       messages.decode,
       this.credentials(),
     );
-    return this.attach(host, {stream, client});
+    return this.attach(host, {stream, client, sinceMs: performance.now()});
   }
 
   private accept(
@@ -247,7 +253,22 @@
     >,
   ): void {
     const host = this.authenticate(call);
-    if (host !== undefined) this.attach(host, {stream: call});
+    if (host === undefined) return;
+    this.replaceGivenUp(host);
+    this.attach(host, {stream: call, sinceMs: performance.now()});
+  }
+
+  /**
+   * Closes the current link to a host that opens a new one. A host opens a link
+   * only when it has none, so it has given up the current one, which may have
+   * fallen silent without a reset. As the host is heard, its silence won't show.
+   */
+  private replaceGivenUp(host: string): void {
+    const current = this.links.get(host);
+    if (!current) return;
+    if (performance.now() - current.sinceMs < SIMULTANEOUS_MS) return;
+    this.closeLink(host, current);
+    this.options.onLinkReplaced?.(host);
   }
 
   private acceptTunnel(call: grpc.ServerDuplexStream<Buffer, Buffer>): void {
