Hosts find each other after a boot with a wrong clock

What callers saw: a host whose clock was over a minute ahead after its boot stayed a fleet of its own for as long as it ran, and where all clocks differed so did all hosts. Each then gives out every backend server's slots and the whole of each limit once more, so that backend servers turn away what the keepers granted.

Cause: a lease states when it ends by the clock of its host, and is skipped if that is over by the clock of the reader. To a host that is a minute ahead all leases have lapsed, also those of hosts that send it messages.

Change: a host that joins counts a lease as lapsed if it had when the newest lease of another was written, which needs no clock of its own, and a host takes the lease of one that it hears. A member that was taken although its lease seems to have lapsed is gone, not lost, if it does not reply: a host that returns alone after a minute keeps the whole of its limits, which a test asserts.

--- a/packages/decisions/src/membership.ts
+++ b/packages/decisions/src/membership.ts
@@ -45,7 +45,7 @@
   readonly member: Member;
   /** When the host last replied, or when its current state was recorded. */
   readonly sinceMs: number;
-  /** True if the host said that it leaves, or if its lease has lapsed since it died. */
+  /** True if the host said that it leaves, or if its lease has lapsed since it died or before it was known. */
   readonly isGone: boolean;
 }
 
@@ -158,6 +158,15 @@
     return new Membership(this.self, recordByHost);
   }
 
+  /** Records that the lease of a host had lapsed when it was read, so that the host is gone should it not reply. */
+  recordLapsedLease(host: string): Membership {
+    const record = this.recordByHost.get(host);
+    if (!record) return this;
+    const recordByHost = new Map(this.recordByHost);
+    recordByHost.set(host, {...record, isGone: true});
+    return new Membership(this.self, recordByHost);
+  }
+
   /** Declares overdue suspects dead and forgets hosts that are gone and died more than `FORGET_DEAD_AFTER_MS` ago. */
   expire(nowMs: number): MembershipUpdate {
     const changes = [...this.recordByHost].filter(([, record]) =>
--- a/packages/fleet/src/members.test.ts
+++ b/packages/fleet/src/members.test.ts
@@ -226,6 +226,57 @@
   }
 });
 
+/** How far ahead each of several hosts' clocks is. */
+const WRONG_CLOCKS_MS: Readonly<Record<string, (index: number) => number>> = {
+  'one clock is ahead': index => (index === 0 ? 600_000 : 0),
+  'one clock is late': index => (index === 0 ? -600_000 : 0),
+  'all clocks differ': index => index * 70_000,
+};
+
+// Guards against hosts that take each other's leases for lapsed ones after a boot with a wrong clock, and stay alone (RECOVER).
+for (const [name, aheadMs] of Object.entries(WRONG_CLOCKS_MS)) {
+  for (const [hosts, lost, awayMs] of [
+    [2, 1, 5000],
+    [8, 1, 5000],
+    [8, 1, 70_000],
+    [8, 8, 5000],
+    [8, 8, 70_000],
+    [HOSTS, 1, 70_000],
+    [HOSTS, HOSTS, 70_000],
+  ]) {
+    test.test(
+      `${lost} of ${hosts} hosts return after ${awayMs} ms, ${name}`,
+      async t => {
+        t.mock.timers.enable({apis: ['setInterval', 'setTimeout']});
+        const fleet = new membersplay.TestFleet(t.mock.timers, hosts);
+        await fleet.start();
+        const killed = [...fleet.members.keys()].slice(hosts - lost);
+        for (const host of killed) fleet.kill(host);
+        await fleet.advance(awayMs);
+        killed.forEach((host, i) => fleet.clockAheadMs.set(host, aheadMs(i)));
+        // The last one to start finds only leases that seem to have lapsed.
+        const order = name === 'all clocks differ' ? killed : killed.reverse();
+        for (const host of order) await fleet.restart(host);
+        await fleet.advance(REJOINED_WITHIN_MS);
+        assert.deepEqual(fleet.apart, []);
+      },
+    );
+  }
+}
+
+// Guards against a host that keeps to a part of its limits for hosts that were gone before it started.
+test.test('a host that returns alone counts no others as lost', async t => {
+  t.mock.timers.enable({apis: ['setInterval', 'setTimeout']});
+  const fleet = new membersplay.TestFleet(t.mock.timers, 8);
+  await fleet.start();
+  for (const host of fleet.members.keys()) fleet.kill(host);
+  await fleet.advance(70_000);
+  await fleet.restart('h0');
+  await fleet.advance(REJOINED_WITHIN_MS);
+  const returned = fleet.members.get('h0');
+  assert.deepEqual([returned?.serving.length, returned?.part], [1, 1]);
+});
+
 const LEASE = {
   member: {
     ...{host: 'h2', region: 'r', zone: 'z', callerUrl: '10.0.0.2:80'},
--- a/packages/fleet/src/members.ts
+++ b/packages/fleet/src/members.ts
@@ -570,6 +570,25 @@
     this.options.onRewritten?.(LEASE_PREFIX + self.host);
   }
 
+  /** When the newest lease of another host was written, by that host's clock. */
+  private newestWriteMs(found: readonly leases.Lease[]): number {
+    const {host: own} = this.options.self;
+    const others = found.filter(({member}) => member.host !== own);
+    const newestMs = Math.max(...others.map(lease => lease.expiresAtMs));
+    return newestMs - LEASE_TTL_MS;
+  }
+
+  /** True if a message of the host came lately, whatever its lease says. */
+  private isHeard(host: string): boolean {
+    const heardMs = this.heardMs.get(host) ?? -Infinity;
+    return this.nowMs - heardMs < CONTACT_TTL_MS;
+  }
+
+  /**
+   * Reads the leases. The clock of this host may be far ahead after a boot, so
+   * that leases of living hosts seem to have lapsed: a host that joins takes all
+   * that had not when the newest one was written, and any host that it hears.
+   */
   private async scan(): Promise<boolean> {
     if (this.nowMs - this.lastScanMs < MIN_SCAN_GAP_MS) return false;
     this.lastScanMs = this.nowMs;
@@ -577,20 +596,30 @@
       .scan(LEASE_PREFIX, '', SCAN_LIMIT)
       .catch(() => undefined);
     if (!rows) return false;
+    const found = rows.flatMap(row => {
+      const lease = leases.decode(row.value);
+      if (!lease) this.options.onBadLease?.(row);
+      return lease ? [lease] : [];
+    });
+    const nowMs = this.options.clock.nowMs();
+    const joinableMs = this.hasJoined
+      ? nowMs
+      : Math.min(nowMs, this.newestWriteMs(found));
     const before = this.membership;
     const news: Member[] = [];
     const leased = new Set<string>();
-    for (const row of rows) {
-      const lease = leases.decode(row.value);
-      if (!lease) {
-        this.options.onBadLease?.(row);
-        continue;
-      }
-      if (lease.expiresAtMs < this.options.clock.nowMs()) continue;
-      leased.add(lease.member.host);
-      if (this.membership.get(lease.member.host)?.state === 'dead') continue;
-      const update = this.membership.merge(lease.member, this.nowMs);
-      this.membership = update.membership;
+    for (const {member, expiresAtMs} of found) {
+      const {host} = member;
+      const hasLapsed = expiresAtMs < nowMs;
+      if (!hasLapsed) leased.add(host);
+      const isHeard = this.isHeard(host);
+      if (expiresAtMs < joinableMs && !isHeard) continue;
+      if (this.membership.get(host)?.state === 'dead') continue;
+      const update = this.membership.merge(member, this.nowMs);
+      this.membership =
+        hasLapsed && !isHeard && update.news.length > 0
+          ? update.membership.recordLapsedLease(host)
+          : update.membership;
       news.push(...update.news);
     }
     this.membership = this.membership.recordLeases(leased);
--- a/packages/fleet/src/membersplay.ts
+++ b/packages/fleet/src/membersplay.ts
@@ -37,6 +37,8 @@
   isWriteFailing = false;
   /** The side of each host in a partition; hosts of different sides don't reach each other. */
   sides = new Map<string, number>();
+  /** By how much the wall clock of a host is ahead; 0 unless given. */
+  readonly clockAheadMs = new Map<string, number>();
   /** Hosts whose process has ended. */
   readonly ended = new Set<string>();
   /** Links that were closed for their silence. */
@@ -76,7 +78,7 @@
   /** Starts a process again under the name that it had. */
   async restart(host: string): Promise<void> {
     this.ended.delete(host);
-    this.add(host, this.nowMs + 1);
+    this.add(host, this.nowMs + this.aheadMs(host) + 1);
     await this.members.get(host)?.start();
   }
 
@@ -110,7 +112,10 @@
 
   /** Adds a host without starting it. */
   add(host: string, incarnation = 1): void {
-    const {clock} = this;
+    const clock: decisions.clock.Clock = {
+      ...this.clock,
+      nowMs: () => this.nowMs + this.aheadMs(host),
+    };
     const send = (to: string, item: peers.messages.Message) => {
       this.sent.set(item.kind, this.count(item.kind) + 1);
       this.undelivered.push(() => this.deliver(host, to, item));
@@ -153,6 +158,10 @@
     );
   }
 
+  private aheadMs(host: string): number {
+    return this.clockAheadMs.get(host) ?? 0;
+  }
+
   private deliver(
     from: string,
     to: string,
