A backend server is tried again while older requests hang

What callers saw: after connections to a backend server had fallen silent without a reset, or after it had lost power and was back under its id, its keeper held it to be down and tried it no more until the last request from before had ended, which may hang until its deadline, up to 15 s after it was sent. Callers were refused meanwhile, or waited.

Cause: a runner that is down takes one request as a probe after its backoff, but only while nothing runs there. So what hangs counted as the probe.

Evidence: "a runner that is down is probed beside requests that hang" (packages/decisions/src/cell.test.ts), before this change:

AssertionError: Expected values to be strictly deep-equal: + [] - ['early']

Change: a runner remembers which ticket it was granted while it was down. That one is the probe, and the next comes only after its outcome and the backoff. The slots that hanging requests hold stay taken.

--- a/packages/decisions/src/cell.test.ts
+++ b/packages/decisions/src/cell.test.ts
@@ -699,3 +699,26 @@
   }
   assert.deepEqual(counts, [1, 2, 3, 4, 4]);
 });
+
+// Guards against a runner that is back but not tried, as requests from before its loss hang on until their deadlines (RECOVER).
+test.test('a runner that is down is probed beside requests that hang', () => {
+  let cell = cellWith(server('s1'));
+  for (const id of ['hangs1', 'hangs2', 'silent']) {
+    cell = cell.apply(ask(ticket(id)), 0).cell;
+  }
+  const outcome = {kind: 'silent'} as const;
+  cell = cell.apply({kind: 'done', ticketId: 'silent', outcome}, 1000).cell;
+  // The first backoff is 500 ms.
+  let applied = cell.apply(ask(ticket('early')), 1400);
+  assert.deepEqual(grants(applied), []);
+  applied = applied.cell.apply({kind: 'tick'}, 1500);
+  assert.deepEqual(grants(applied), ['early']);
+  // One at a time, until the probe has an outcome.
+  applied = applied.cell.apply(ask(ticket('next')), 3000);
+  assert.deepEqual(grants(applied), []);
+  const done = {kind: 'done' as const, ticketId: 'early', outcome};
+  applied = applied.cell.apply(done, 3100);
+  assert.deepEqual(grants(applied), []);
+  applied = applied.cell.apply({kind: 'tick'}, 4100);
+  assert.deepEqual(grants(applied), ['next']);
+});
--- a/packages/decisions/src/runner.ts
+++ b/packages/decisions/src/runner.ts
@@ -81,6 +81,8 @@
   readonly brokenInARow: number;
   /** When a runner that is down accepts a probe. */
   readonly retryAtMs: number;
+  /** The ticket that was granted while the runner was down; undefined if none holds a slot. */
+  readonly probe: string | undefined;
   /** When the runner was last reported as leaving. */
   readonly leavingAtMs: number;
   readonly pace: pace.Pace;
@@ -149,6 +151,7 @@
       consecutiveFailures: 0,
       brokenInARow: 0,
       retryAtMs: 0,
+      probe: undefined,
       leavingAtMs: 0,
       pace: server.expectedPace ?? pace.INITIAL_PACE,
       prefixCache: prefixcache.PrefixCacheEstimate.empty,
@@ -227,11 +230,15 @@
     return this.fields.prefills.endMs;
   }
 
-  /** Returns true if the runner accepts new work at `nowMs`; after its backoff, a runner that is down accepts one request as a probe. */
+  /**
+   * Returns true if the runner accepts new work at `nowMs`; after its backoff, a
+   * runner that is down accepts one request as a probe. Those granted before may
+   * hang until their deadlines.
+   */
   isAvailable(nowMs: number): boolean {
-    const {state, retryAtMs, running} = this.fields;
+    const {state, retryAtMs, probe} = this.fields;
     if (state === 'live') return true;
-    return state === 'down' && nowMs >= retryAtMs && running === 0;
+    return state === 'down' && nowMs >= retryAtMs && probe === undefined;
   }
 
   /** Returns true if the runner is in a region that the ticket may use, serves its version and accepts requests of its host; one without known versions serves all. */
@@ -378,12 +385,14 @@
 
   /** Assigns a slot to the ticket as of `grantedMs`. */
   occupy(ticket: tickets.Ticket, grantedMs: number): Runner {
-    const {usedTokens, running, prefixCache, server} = this.fields;
+    const {usedTokens, running, prefixCache, server, state} = this.fields;
+    const {probe = state === 'down' ? ticket.id : undefined} = this.fields;
     const fitting = Math.ceil(server.slotTokens / prefixcache.BLOCK_TOKENS);
     const maxBlocks = Math.min(fitting, prefixcache.MAX_TRACKED_BLOCKS);
     return this.with({
       usedTokens: usedTokens + tickets.slotTokens(ticket),
       running: running + 1,
+      probe,
       progressMs: running === 0 ? grantedMs : this.fields.progressMs,
       expectedRunningMs:
         this.fields.expectedRunningMs + this.expectedMs(ticket),
@@ -400,8 +409,9 @@
 
   /** Releases the slot of the ticket at `nowMs`. */
   release(ticket: tickets.Ticket, wasAnswered: boolean, nowMs: number): Runner {
-    const {usedTokens, running, hasSuspect, prefills} = this.fields;
+    const {usedTokens, running, hasSuspect, prefills, probe} = this.fields;
     return this.with({
+      probe: probe === ticket.id ? undefined : probe,
       usedTokens: usedTokens - tickets.slotTokens(ticket),
       running: running - 1,
       expectedRunningMs:
