A probe without an outcome is followed by another

What callers saw: a backend server that was down got one request as a probe. Where it fell again, or accepted the request and lost it, nothing else was sent there until that one ended, which for a stream is its deadline, up to 15 s later.

Cause: a runner that is down waits for the outcome of its probe without a bound.

Evidence: "a probe that hangs is followed by another" (packages/decisions/src/cell.test.ts), before this change:

AssertionError: Expected values to be strictly deep-equal: + [] - ['next']

Change: after 5 s, which is the longest backoff as well, the next request is a probe too, if a slot is free. A runner with one slot still waits for it.

--- a/packages/decisions/src/cell.test.ts
+++ b/packages/decisions/src/cell.test.ts
@@ -722,3 +722,17 @@
   applied = applied.cell.apply({kind: 'tick'}, 4100);
   assert.deepEqual(grants(applied), ['next']);
 });
+
+// Guards against a runner that is back but not tried, as the probe was lost in its fall and hangs until its deadline (RECOVER).
+test.test('a probe that hangs is followed by another', () => {
+  let cell = cellWith(server('s1'));
+  cell = cell.apply(ask(ticket('silent')), 0).cell;
+  const outcome = {kind: 'silent'} as const;
+  cell = cell.apply({kind: 'done', ticketId: 'silent', outcome}, 1000).cell;
+  let applied = cell.apply(ask(ticket('hangs')), 1500);
+  assert.deepEqual(grants(applied), ['hangs']);
+  applied = applied.cell.apply(ask(ticket('next')), 6400);
+  assert.deepEqual(grants(applied), []);
+  applied = applied.cell.apply({kind: 'tick'}, 6500);
+  assert.deepEqual(grants(applied), ['next']);
+});
--- a/packages/decisions/src/runner.ts
+++ b/packages/decisions/src/runner.ts
@@ -23,6 +23,9 @@
   silent: 5000,
 } as const;
 
+/** After this time without an outcome of a probe there is another one, in milliseconds; the runner may have lost it. */
+const PROBE_PATIENCE_MS = 5000;
+
 /**
  * After this many attempts in a row that broke off without an answer, a runner is
  * `down`. A backend server that resets what it gets frees its slots at once, so
@@ -72,6 +75,12 @@
   3: 0.95,
 };
 
+/** A ticket that was granted on a runner that was down. */
+interface Probe {
+  readonly ticketId: string;
+  readonly grantedMs: number;
+}
+
 interface RunnerFields {
   readonly server: config.BackendServer;
   readonly versions: readonly string[];
@@ -81,8 +90,8 @@
   readonly brokenInARow: number;
   /** When a runner that is down accepts a probe. */
   readonly retryAtMs: number;
-  /** The ticket that was granted while the runner was down; undefined if none holds a slot. */
-  readonly probe: string | undefined;
+  /** The last ticket that was granted while the runner was down; undefined if it holds no slot any more. */
+  readonly probe: Probe | undefined;
   /** When the runner was last reported as leaving. */
   readonly leavingAtMs: number;
   readonly pace: pace.Pace;
@@ -238,7 +247,11 @@
   isAvailable(nowMs: number): boolean {
     const {state, retryAtMs, probe} = this.fields;
     if (state === 'live') return true;
-    return state === 'down' && nowMs >= retryAtMs && probe === undefined;
+    const probedMs = probe?.grantedMs ?? -Infinity;
+    return (
+      state === 'down' &&
+      nowMs >= Math.max(retryAtMs, probedMs + PROBE_PATIENCE_MS)
+    );
   }
 
   /** Returns true if the runner is in a region that the ticket may use, serves its version and accepts requests of its host; one without known versions serves all. */
@@ -386,7 +399,8 @@
   /** Assigns a slot to the ticket as of `grantedMs`. */
   occupy(ticket: tickets.Ticket, grantedMs: number): Runner {
     const {usedTokens, running, prefixCache, server, state} = this.fields;
-    const {probe = state === 'down' ? ticket.id : undefined} = this.fields;
+    const probe =
+      state === 'down' ? {ticketId: ticket.id, grantedMs} : this.fields.probe;
     const fitting = Math.ceil(server.slotTokens / prefixcache.BLOCK_TOKENS);
     const maxBlocks = Math.min(fitting, prefixcache.MAX_TRACKED_BLOCKS);
     return this.with({
@@ -411,7 +425,7 @@
   release(ticket: tickets.Ticket, wasAnswered: boolean, nowMs: number): Runner {
     const {usedTokens, running, hasSuspect, prefills, probe} = this.fields;
     return this.with({
-      probe: probe === ticket.id ? undefined : probe,
+      probe: probe?.ticketId === ticket.id ? undefined : probe,
       usedTokens: usedTokens - tickets.slotTokens(ticket),
       running: running - 1,
       expectedRunningMs:
