The pace of a stall does not refuse requests for good

What callers saw: after a stall in which short answers took nearly all of their time, requests for longer ones were refused (503 `deadline-exceeded`) for as long as no short ones came, though the backend server was sound again and idle.

Cause: a cell refuses what can't be answered in time by the learned pace of any runner. The pace changes only with completed requests, so one that refuses all requests stays.

Evidence: "the pace of a stall is forgotten once nothing runs" (packages/decisions/src/cell.test.ts): 16 answers of 5 tokens in 9 s, then one of 100 tokens within 10 s, 5 s after the last. Before this change:

AssertionError: Expected values to be strictly deep-equal: + [] - ['late']

Change: before such a refusal the paces of runners are forgotten on which nothing runs and nothing has completed for 5 s. The request is then decided by the configured pace, so what no runner can answer in time is still refused.

--- a/packages/decisions/src/cell.test.ts
+++ b/packages/decisions/src/cell.test.ts
@@ -736,3 +736,30 @@
   applied = applied.cell.apply({kind: 'tick'}, 6500);
   assert.deepEqual(grants(applied), ['next']);
 });
+
+// Guards against requests that are refused for good by the pace of a stall, as nothing runs that could be measured (RECOVER).
+test.test('the pace of a stall is forgotten once nothing runs', () => {
+  let cell = cellWith(server('s1', 16));
+  const short = Array.from({length: 16}, (_, i) =>
+    ticket(`short${i}`, {outputTokens: 5}),
+  );
+  for (const each of short) cell = cell.apply(ask(each), 0).cell;
+  for (const {id: ticketId} of short) {
+    const measured = {prefillTokens: 0, outputTokens: 5, firstTokenMs: 0};
+    const outcome = {
+      kind: 'completed' as const,
+      measured: {...measured, durationMs: 9000},
+    };
+    cell = cell.apply({kind: 'done', ticketId, outcome}, 9000).cell;
+  }
+  const long = (id: string, nowMs: number) =>
+    ask(ticket(id, {deadlineMs: nowMs + 10_000}));
+  let applied = cell.apply(long('early', 10_000), 10_000);
+  assert.deepEqual(refusals(applied), ['early']);
+  applied = applied.cell.apply(long('late', 14_000), 14_000);
+  assert.deepEqual(grants(applied), ['late']);
+  // What no pace allows is still refused.
+  const hopeless = ticket('hopeless', {deadlineMs: 30_010});
+  applied = cell.apply(ask(hopeless), 30_000);
+  assert.deepEqual(refusals(applied), ['hopeless']);
+});
--- a/packages/decisions/src/cell.ts
+++ b/packages/decisions/src/cell.ts
@@ -212,7 +212,11 @@
     nowMs: number,
   ): Transition {
     if (!estimate.canStart(ticket, 0, nowMs)) {
-      return this.refuse(ticket, 'deadline', 0);
+      // A pace that refuses all tickets would never be measured again.
+      const cell = this.withoutOldPaces(nowMs);
+      return cell === this
+        ? this.refuse(ticket, 'deadline', 0)
+        : cell.decide(ticket, cell.estimate, nowMs);
     }
     if (this.isCutOff(ticket, nowMs)) {
       return this.refuse(ticket, 'overloaded', CUTOFF_MS);
@@ -234,6 +238,14 @@
     return enqueued.withoutWaiting(evicted.id).shed(evicted, waitMs, nowMs);
   }
 
+  private withoutOldPaces(nowMs: number): Cell {
+    return this.runners.reduce<Cell>(
+      (cell, {name}) =>
+        cell.updateRunner(name, runner => runner.withoutOldPace(nowMs)),
+      this,
+    );
+  }
+
   /** True if some waiting ticket is restricted to regions. */
   private get hasRestricted(): boolean {
     const {mayHaveRestricted, waiting} = this.fields;
--- a/packages/decisions/src/runner.ts
+++ b/packages/decisions/src/runner.ts
@@ -34,6 +34,9 @@
  */
 const MAX_BROKEN_IN_A_ROW = 3;
 
+/** A pace says little of a runner on which nothing has run or completed for this time, in milliseconds. */
+const PACE_TTL_MS = 5000;
+
 /** How long a runner stays `leaving` after the last report that it leaves, in milliseconds. */
 const LEAVING_HOLD_MS = 5000;
 
@@ -487,6 +490,14 @@
     return state === 'leaving' && isExpired ? this.with({state: 'live'}) : this;
   }
 
+  /** Forgets a pace that was measured long ago, if nothing runs that could be measured. */
+  withoutOldPace(nowMs: number): Runner {
+    const {running, progressMs, server, pace: known} = this.fields;
+    const assumed = server.expectedPace ?? pace.INITIAL_PACE;
+    const isOld = running === 0 && nowMs - progressMs >= PACE_TTL_MS;
+    return isOld && known !== assumed ? this.with({pace: assumed}) : this;
+  }
+
   /** Replaces the configuration entry and the set of versions. */
   withConfiguration(
     server: config.BackendServer,
