--- a/packages/decisions/src/cell.test.ts
+++ b/packages/decisions/src/cell.test.ts
@@ -699,3 +699,67 @@
   }
   assert.deepEqual(counts, [1, 2, 3, 4, 4]);
 });
+
+// Guards against a runner that is back but not tried, as requests from before its loss hang on until their deadlines (RECOVER).
+test.test('a runner that is down is probed beside requests that hang', () => {
+  let cell = cellWith(server('s1'));
+  for (const id of ['hangs1', 'hangs2', 'silent']) {
+    cell = cell.apply(ask(ticket(id)), 0).cell;
+  }
+  const outcome = {kind: 'silent'} as const;
+  cell = cell.apply({kind: 'done', ticketId: 'silent', outcome}, 1000).cell;
+  // The first backoff is 500 ms.
+  let applied = cell.apply(ask(ticket('early')), 1400);
+  assert.deepEqual(grants(applied), []);
+  applied = applied.cell.apply({kind: 'tick'}, 1500);
+  assert.deepEqual(grants(applied), ['early']);
+  // One at a time, until the probe has an outcome.
+  applied = applied.cell.apply(ask(ticket('next')), 3000);
+  assert.deepEqual(grants(applied), []);
+  const done = {kind: 'done' as const, ticketId: 'early', outcome};
+  applied = applied.cell.apply(done, 3100);
+  assert.deepEqual(grants(applied), []);
+  applied = applied.cell.apply({kind: 'tick'}, 4100);
+  assert.deepEqual(grants(applied), ['next']);
+});
+
+// Guards against a runner that is back but not tried, as the probe was lost in its fall and hangs until its deadline (RECOVER).
+test.test('a probe that hangs is followed by another', () => {
+  let cell = cellWith(server('s1'));
+  cell = cell.apply(ask(ticket('silent')), 0).cell;
+  const outcome = {kind: 'silent'} as const;
+  cell = cell.apply({kind: 'done', ticketId: 'silent', outcome}, 1000).cell;
+  let applied = cell.apply(ask(ticket('hangs')), 1500);
+  assert.deepEqual(grants(applied), ['hangs']);
+  applied = applied.cell.apply(ask(ticket('next')), 6400);
+  assert.deepEqual(grants(applied), []);
+  applied = applied.cell.apply({kind: 'tick'}, 6500);
+  assert.deepEqual(grants(applied), ['next']);
+});
+
+// Guards against requests that are refused for good by the pace of a stall, as nothing runs that could be measured (RECOVER).
+test.test('the pace of a stall is forgotten once nothing runs', () => {
+  let cell = cellWith(server('s1', 16));
+  const short = Array.from({length: 16}, (_, i) =>
+    ticket(`short${i}`, {outputTokens: 5}),
+  );
+  for (const each of short) cell = cell.apply(ask(each), 0).cell;
+  for (const {id: ticketId} of short) {
+    const measured = {prefillTokens: 0, outputTokens: 5, firstTokenMs: 0};
+    const outcome = {
+      kind: 'completed' as const,
+      measured: {...measured, durationMs: 9000},
+    };
+    cell = cell.apply({kind: 'done', ticketId, outcome}, 9000).cell;
+  }
+  const long = (id: string, nowMs: number) =>
+    ask(ticket(id, {deadlineMs: nowMs + 10_000}));
+  let applied = cell.apply(long('early', 10_000), 10_000);
+  assert.deepEqual(refusals(applied), ['early']);
+  applied = applied.cell.apply(long('late', 14_000), 14_000);
+  assert.deepEqual(grants(applied), ['late']);
+  // What no pace allows is still refused.
+  const hopeless = ticket('hopeless', {deadlineMs: 30_010});
+  applied = cell.apply(ask(hopeless), 30_000);
+  assert.deepEqual(refusals(applied), ['hopeless']);
+});
--- a/packages/decisions/src/runner.ts
+++ b/packages/decisions/src/runner.ts
@@ -23,6 +23,9 @@
   silent: 5000,
 } as const;
 
+/** After this time without an outcome of a probe there is another one, in milliseconds; the runner may have lost it. */
+const PROBE_PATIENCE_MS = 5000;
+
 /**
  * After this many attempts in a row that broke off without an answer, a runner is
  * `down`. A backend server that resets what it gets frees its slots at once, so
@@ -31,6 +34,9 @@
  */
 const MAX_BROKEN_IN_A_ROW = 3;
 
+/** A pace says little of a runner on which nothing has run or completed for this time, in milliseconds. */
+const PACE_TTL_MS = 5000;
+
 /** How long a runner stays `leaving` after the last report that it leaves, in milliseconds. */
 const LEAVING_HOLD_MS = 5000;
 
@@ -72,6 +78,12 @@
   3: 0.95,
 };
 
+/** A ticket that was granted on a runner that was down. */
+interface Probe {
+  readonly ticketId: string;
+  readonly grantedMs: number;
+}
+
 interface RunnerFields {
   readonly server: config.BackendServer;
   readonly versions: readonly string[];
@@ -81,6 +93,8 @@
   readonly brokenInARow: number;
   /** When a runner that is down accepts a probe. */
   readonly retryAtMs: number;
+  /** The last ticket that was granted while the runner was down; undefined if it holds no slot any more. */
+  readonly probe: Probe | undefined;
   /** When the runner was last reported as leaving. */
   readonly leavingAtMs: number;
   readonly pace: pace.Pace;
@@ -149,6 +163,7 @@
       consecutiveFailures: 0,
       brokenInARow: 0,
       retryAtMs: 0,
+      probe: undefined,
       leavingAtMs: 0,
       pace: server.expectedPace ?? pace.INITIAL_PACE,
       prefixCache: prefixcache.PrefixCacheEstimate.empty,
@@ -227,11 +242,19 @@
     return this.fields.prefills.endMs;
   }
 
-  /** Returns true if the runner accepts new work at `nowMs`; after its backoff, a runner that is down accepts one request as a probe. */
+  /**
+   * Returns true if the runner accepts new work at `nowMs`; after its backoff, a
+   * runner that is down accepts one request as a probe. Those granted before may
+   * hang until their deadlines.
+   */
   isAvailable(nowMs: number): boolean {
-    const {state, retryAtMs, running} = this.fields;
+    const {state, retryAtMs, probe} = this.fields;
     if (state === 'live') return true;
-    return state === 'down' && nowMs >= retryAtMs && running === 0;
+    const probedMs = probe?.grantedMs ?? -Infinity;
+    return (
+      state === 'down' &&
+      nowMs >= Math.max(retryAtMs, probedMs + PROBE_PATIENCE_MS)
+    );
   }
 
   /** Returns true if the runner is in a region that the ticket may use, serves its version and accepts requests of its host; one without known versions serves all. */
@@ -378,12 +401,15 @@
 
   /** Assigns a slot to the ticket as of `grantedMs`. */
   occupy(ticket: tickets.Ticket, grantedMs: number): Runner {
-    const {usedTokens, running, prefixCache, server} = this.fields;
+    const {usedTokens, running, prefixCache, server, state} = this.fields;
+    const probe =
+      state === 'down' ? {ticketId: ticket.id, grantedMs} : this.fields.probe;
     const fitting = Math.ceil(server.slotTokens / prefixcache.BLOCK_TOKENS);
     const maxBlocks = Math.min(fitting, prefixcache.MAX_TRACKED_BLOCKS);
     return this.with({
       usedTokens: usedTokens + tickets.slotTokens(ticket),
       running: running + 1,
+      probe,
       progressMs: running === 0 ? grantedMs : this.fields.progressMs,
       expectedRunningMs:
         this.fields.expectedRunningMs + this.expectedMs(ticket),
@@ -400,8 +426,9 @@
 
   /** Releases the slot of the ticket at `nowMs`. */
   release(ticket: tickets.Ticket, wasAnswered: boolean, nowMs: number): Runner {
-    const {usedTokens, running, hasSuspect, prefills} = this.fields;
+    const {usedTokens, running, hasSuspect, prefills, probe} = this.fields;
     return this.with({
+      probe: probe?.ticketId === ticket.id ? undefined : probe,
       usedTokens: usedTokens - tickets.slotTokens(ticket),
       running: running - 1,
       expectedRunningMs:
@@ -463,6 +490,14 @@
     return state === 'leaving' && isExpired ? this.with({state: 'live'}) : this;
   }
 
+  /** Forgets a pace that was measured long ago, if nothing runs that could be measured. */
+  withoutOldPace(nowMs: number): Runner {
+    const {running, progressMs, server, pace: known} = this.fields;
+    const assumed = server.expectedPace ?? pace.INITIAL_PACE;
+    const isOld = running === 0 && nowMs - progressMs >= PACE_TTL_MS;
+    return isOld && known !== assumed ? this.with({pace: assumed}) : this;
+  }
+
   /** Replaces the configuration entry and the set of versions. */
   withConfiguration(
     server: config.BackendServer,
