A loss of all backend servers accuses no prompt part

Callers saw, after all backend servers had lost power and were back, 503 (suspect-part) to every request that shares a prompt part with what ran before: for 30 s after two crashes, doubled with each further backend server, so for 8 minutes with 6 and for 30 with 9. Hosts that lived tell those that start, so a restart of the other hosts did not end it.

Cause: crashes are counted for each backend server, and only one is outweighed by recent answers, so a part that most requests carry is the best explanation of a loss of power. As refused requests never run, no answer can clear it.

Crashes with one cause now count once. Of a part that was answered lately these are crashes with less than a second between them; of a part without an answer, three or more crashes whose requests were under way at the same time. A deadly part is accused by requests that are sent after its first crash, as before.

--- a/packages/decisions/src/suspectparts.test.ts
+++ b/packages/decisions/src/suspectparts.test.ts
@@ -110,6 +110,22 @@
   assert.deepEqual(statuses(known, 1050, ['a']), ['suspect']);
 });
 
+// Guards against a part that is refused for minutes after a loss of power in which its requests ran everywhere.
+test.test('crashes of requests that ran at the same time count once', () => {
+  const together = [1000, 1030, 1060, 1090].map(atMs => crash(atMs, [['a']]));
+  assert.deepEqual(statuses(of(...together), 1090, ['a']), ['suspect']);
+  const inTurn = of(...together, crash(2000, [['a']]));
+  assert.deepEqual(statuses(inTurn, 2000, ['a']), ['refused']);
+});
+
+// Guards against the same where backend servers go one after the other, faster than their requests are answered.
+test.test('crashes of an answered part in a row count once', () => {
+  const row = [0, 1, 2, 3].map(i => crash(20_000 + i * 800, [['a']]));
+  const answered = of(...row).answer('a', 19_000);
+  assert.deepEqual(statuses(answered, 23_000, ['a']), ['clear']);
+  assert.deepEqual(statuses(of(...row), 23_000, ['a']), ['refused']);
+});
+
 test.test('a refused part is tried again after longer and longer times', () => {
   const twice = of(crash(1000, [['a']]), crash(2000, [['a']]));
   const {retryAtMs} = twice.statusOf(['a'], 2000);
--- a/packages/decisions/src/suspectparts.ts
+++ b/packages/decisions/src/suspectparts.ts
@@ -28,6 +28,12 @@
 /** Reports of one backend server within this time are of the same crash, in milliseconds. */
 const MIN_RESTART_MS = 1000;
 
+/** Crashes of several backend servers with less than this between them may have one cause, such as a loss of power, in milliseconds. */
+const COMMON_CAUSE_MS = 1000;
+
+/** So many crashes during requests with one part that ran at the same time have one cause; two may well be the part's. */
+const COMMON_CAUSE_CRASHES = 3;
+
 /** The status of a request by its parts, and what it is based on. */
 export interface PartsStatus {
   readonly status: suspects.SuspectStatus;
@@ -48,15 +54,19 @@
 
 /** A crash, merged from the reports of all hosts, with the parts of the requests that had no answer yet. */
 interface CrashEvent {
-  readonly crashIds: readonly string[];
+  /** The first one first. */
+  readonly reports: readonly suspects.Crash[];
   readonly lastMs: number;
-  readonly parts: ReadonlySet<string>;
+  /** The last dispatches of requests with each part, one for each host. */
+  readonly parts: ReadonlyMap<string, readonly suspects.Dispatch[]>;
 }
 
 /** The best explanation of some crashes: parts that were at all of them and can't be told apart yet. */
 interface Explanation {
   readonly parts: readonly string[];
   readonly events: readonly CrashEvent[];
+  /** How many of the crashes count; those with one cause count once. */
+  readonly crashes: number;
 }
 
 const NONE_EXPLAINED: ReadonlySet<CrashEvent> = new Set();
@@ -72,7 +82,8 @@
  * The suspect parts. A backend server crashes when it begins an answer, so only
  * requests without an answer are considered. An answered request clears its
  * parts of earlier crashes; a crash that one part explains does not count
- * against the others. Reports and answers may be added in any order and any
+ * against the others. Backend servers that go away together, as in a loss of
+ * power, count as one crash. Reports and answers may be added in any order and any
  * number of times.
  */
 export class SuspectParts {
@@ -123,11 +134,12 @@
     if (this.reports.size === 0 || parts.length === 0) return CLEAR;
     const own = new Set(parts);
     let status = CLEAR;
-    for (const {parts: blamed, events} of this.findings.explanations) {
+    for (const {parts: blamed, ...found} of this.findings.explanations) {
+      const {events} = found;
       const shared = blamed.filter(part => own.has(part));
       if (shared.length === 0) continue;
-      const crashIds = events.flatMap(event => event.crashIds);
-      const retryAtMs = retryAt(events);
+      const crashIds = events.flatMap(crashIdsOf);
+      const retryAtMs = retryAt(found);
       const isRefused = shared.length === blamed.length && nowMs < retryAtMs;
       if (isRefused)
         return {status: 'refused', parts: shared, crashIds, retryAtMs};
@@ -138,7 +150,7 @@
       if (nowMs - event.lastMs > SUSPICION_MS) continue;
       const shared = parts.filter(part => this.isBlamed(part, event));
       if (shared.length === 0) continue;
-      const {crashIds} = event;
+      const crashIds = crashIdsOf(event);
       return {status: 'suspect', parts: shared, crashIds, retryAtMs: 0};
     }
     return CLEAR;
@@ -147,7 +159,7 @@
   /** The parts that are refused at `nowMs`. */
   refusedParts(nowMs: number): readonly string[] {
     return this.findings.explanations
-      .filter(({events}) => nowMs < retryAt(events))
+      .filter(found => nowMs < retryAt(found))
       .flatMap(({parts}) => parts);
   }
 
@@ -196,7 +208,7 @@
   ) {
     for (const event of events) {
       let possible = 0;
-      for (const part of event.parts) {
+      for (const part of event.parts.keys()) {
         const answered = answeredMs.get(part) ?? -Infinity;
         if (event.lastMs <= answered) continue;
         const known = this.eventsByPart.get(part) ?? [];
@@ -220,9 +232,11 @@
     return events.filter(event => !explained.has(event));
   }
 
-  /** The number of these crashes of a part, less one if it was answered shortly before. */
+  /** The number of these crashes of a part, where those with one cause count once, less one if it was answered shortly before. */
   score(part: string, events: readonly CrashEvent[]): number {
-    return events.length - Number(this.credited.has(part));
+    return this.credited.has(part)
+      ? countApart(events) - 1
+      : countInTurn(part, events);
   }
 
   /** The sum over crashes of the share of one of the parts that may have caused each. */
@@ -265,12 +279,49 @@
     bestScore = score;
   }
   if (events.length === 0) return undefined;
-  const parts = [...events[0].parts].filter(part => {
+  const parts = [...events[0].parts.keys()].filter(part => {
     const own = index.of(part, explained);
     const isAtAll = events.every(event => own.includes(event));
     return isAtAll && index.score(part, own) >= bestScore;
   });
-  return {parts, events};
+  return {parts, events, crashes: bestScore};
+}
+
+/** Counts crashes; those that follow each other within `COMMON_CAUSE_MS` count as one. */
+function countApart(events: readonly CrashEvent[]): number {
+  let lastMs = -Infinity;
+  let count = 0;
+  for (const event of events) {
+    if (event.reports[0].atMs - lastMs > COMMON_CAUSE_MS) count++;
+    lastMs = Math.max(lastMs, event.lastMs);
+  }
+  return count;
+}
+
+/**
+ * Counts crashes of a part that no answer speaks for. Those of requests that
+ * were under way at the same time count as one if they are many.
+ */
+function countInTurn(part: string, events: readonly CrashEvent[]): number {
+  const groups: CrashEvent[][] = [];
+  for (const event of events) {
+    const group = groups.at(-1);
+    const reports = group?.flatMap(other => other.reports) ?? [];
+    const dispatches = event.parts.get(part) ?? [];
+    const isInTurn = dispatches.some(dispatch =>
+      suspects.wasAfterCrash(dispatch, reports),
+    );
+    if (group && !isInTurn) group.push(event);
+    else groups.push([event]);
+  }
+  return groups.reduce(
+    (sum, {length}) => sum + (length >= COMMON_CAUSE_CRASHES ? 1 : length),
+    0,
+  );
+}
+
+function crashIdsOf({reports}: CrashEvent): readonly string[] {
+  return reports.map(({crashId}) => crashId);
 }
 
 function candidateParts(crash: suspects.Crash): readonly string[] {
@@ -286,31 +337,53 @@
   const events: CrashEvent[] = [];
   const lastByServer = new Map<string, number>();
   for (const report of reports) {
-    const {backendServer, atMs, crashId} = report;
+    const {backendServer, atMs} = report;
     const index = lastByServer.get(backendServer);
     const last = index === undefined ? undefined : events[index];
     const isSame =
       last !== undefined &&
       (atMs - last.lastMs < MIN_RESTART_MS ||
         report.requests.some(({dispatchedMs}) => dispatchedMs <= last.lastMs));
-    const own = candidateParts(report);
+    const own = dispatchesByPart(report);
     if (last === undefined || index === undefined || !isSame) {
       lastByServer.set(backendServer, events.length);
-      events.push({crashIds: [crashId], lastMs: atMs, parts: new Set(own)});
+      events.push({reports: [report], lastMs: atMs, parts: own});
       continue;
     }
+    const parts = new Map(last.parts);
+    for (const [part, dispatches] of own) {
+      parts.set(part, [...(parts.get(part) ?? []), ...dispatches]);
+    }
     events[index] = {
-      crashIds: [...last.crashIds, crashId],
+      reports: [...last.reports, report],
       lastMs: Math.max(last.lastMs, atMs),
-      parts: new Set([...last.parts, ...own]),
+      parts,
     };
   }
   return events;
 }
 
+/** The last dispatch of requests with each part, by the host that reported their crash. */
+function dispatchesByPart(
+  crash: suspects.Crash,
+): ReadonlyMap<string, readonly suspects.Dispatch[]> {
+  const host = suspects.reporterOf(crash);
+  const lastMs = new Map<string, number>();
+  for (const {hasBegun, parts, dispatchedMs} of crash.requests) {
+    if (hasBegun) continue;
+    for (const part of parts) {
+      lastMs.set(part, Math.max(dispatchedMs, lastMs.get(part) ?? -Infinity));
+    }
+  }
+  const byPart = [...lastMs].map(
+    ([part, atMs]) => [part, [{host, atMs}]] as const,
+  );
+  return new Map(byPart);
+}
+
 /** When a part that explains these crashes is tried again. */
-function retryAt(events: readonly CrashEvent[]): number {
+function retryAt({events, crashes}: Omit<Explanation, 'parts'>): number {
   const lastMs = Math.max(...events.map(event => event.lastMs));
-  const doublings = events.length - CRASHES_TO_REFUSE;
+  const doublings = crashes - CRASHES_TO_REFUSE;
   return lastMs + Math.min(MAX_TRIAL_MS, FIRST_TRIAL_MS * 2 ** doublings);
 }
--- a/packages/decisions/src/suspects.ts
+++ b/packages/decisions/src/suspects.ts
@@ -7,6 +7,9 @@
 /** The number of crash reports kept; the latest ones are kept. */
 export const MAX_REPORTS = 512;
 
+/** The greatest difference between the clocks of two hosts, in milliseconds. */
+const MAX_SKEW_MS = 200;
+
 /** A request that was in flight when a backend server crashed. */
 export interface InFlightRequest {
   readonly fingerprint: string;
@@ -116,27 +119,60 @@
 /**
  * Counts the distinct crashes with a fingerprint in flight. Several hosts may
  * report the same crash, so a report counts as another crash only if the
- * request was dispatched after the previous report for that backend server.
+ * request was dispatched after the previous report for that backend server. It
+ * also has to be dispatched after the crash that was counted before: equal
+ * requests at backend servers that lose power together show nothing about it.
  */
 function countDistinctCrashes(
   crashes: readonly Crash[],
   fingerprint: string,
 ): number {
-  const sorted = [...crashes].sort((a, b) => a.atMs - b.atMs);
+  const sorted = [...crashes].sort(compareReports);
   const lastMs = new Map<string, number>();
+  let countedMs = -Infinity;
   let count = 0;
   for (const {backendServer, atMs, requests} of sorted) {
     const previousMs = lastMs.get(backendServer) ?? -Infinity;
+    const sinceMs = Math.max(previousMs, countedMs);
     const isOtherCrash = requests.some(request => {
       const hasFingerprint = request.fingerprint === fingerprint;
-      return hasFingerprint && request.dispatchedMs > previousMs;
+      return hasFingerprint && request.dispatchedMs > sinceMs;
     });
-    if (isOtherCrash) count++;
+    if (isOtherCrash) {
+      count++;
+      countedMs = atMs;
+    }
     lastMs.set(backendServer, atMs);
   }
   return count;
 }
 
+/** Names the report of a crash; unique among all hosts. */
+export function crashIdOf(host: string, atMs: number, number: number): string {
+  return `${host}/${atMs}/${number}`;
+}
+
+/** Returns the host that reported a crash. */
+export function reporterOf({crashId}: Crash): string {
+  return crashId.split('/', 1)[0];
+}
+
+/** When a host dispatched a request, by its own clock. */
+export interface Dispatch {
+  readonly host: string;
+  readonly atMs: number;
+}
+
+/** Returns true if a request was certainly dispatched after a crash, of which these are the reports, the first one first. */
+export function wasAfterCrash(
+  {host, atMs}: Dispatch,
+  reports: readonly Crash[],
+): boolean {
+  if (reports.length === 0) return true;
+  const own = reports.find(report => reporterOf(report) === host);
+  return atMs > (own ? own.atMs : reports[0].atMs + MAX_SKEW_MS);
+}
+
 /** Orders the reports of crashes by time. */
 export function compareReports(a: Crash, b: Crash): number {
   return a.atMs - b.atMs || (a.crashId < b.crashId ? -1 : 1);
--- a/packages/fleet/src/crashes.test.ts
+++ b/packages/fleet/src/crashes.test.ts
@@ -42,6 +42,8 @@
   readonly deadly: Readonly<Record<string, number>>;
   readonly hosts?: number;
   readonly runners?: number;
+  /** The difference between the clocks of hosts with even and with odd numbers. */
+  readonly skewMs?: number;
 }
 
 /** Hosts that share crash records over a network with delay, in front of runners with slots; nothing real. */
@@ -121,7 +123,9 @@
 
   private newHost(index: number): crashesModule.Crashes {
     const host = `h${index}`;
-    const clock = {nowMs: () => this.nowMs, monotonicMs: () => this.nowMs};
+    const aheadMs = index % 2 === 0 ? 0 : (this.options.skewMs ?? 0);
+    const nowMs = () => this.nowMs + aheadMs;
+    const clock = {nowMs, monotonicMs: nowMs};
     const send = (to: string, item: peers.messages.Message) => {
       this.send(index, Number(to.slice(1)), item);
       return true;
@@ -336,6 +340,42 @@
   }
 });
 
+/** Plays two losses of all runners in a row, each with `gapMs` between the first runner that ends and the last. */
+function playLosses(seed: number, gapMs: number, runners: number) {
+  const sim = new Simulation({seed, deadly: {}, skewMs: 200, runners});
+  const requestsPerS = 5 * runners + 15 * (seed % 6);
+  sim.play(seed % 2 === 0 ? 1000 : 8000, requestsPerS);
+  for (let loss = 0; loss < 2; loss++) {
+    for (let i = 0; i < runners; i++) {
+      sim.crashRunner(i);
+      if (gapMs > 0) sim.play(gapMs / (runners - 1), requestsPerS);
+    }
+    sim.play(RESTART_MS + 2000, requestsPerS);
+  }
+  const {sound, soundRefused, soundAlone} = sim;
+  sim.play(10_000, requestsPerS);
+  const part = (count: number) => count / (sim.sound - sound);
+  return {
+    refused: part(sim.soundRefused - soundRefused),
+    alone: part(sim.soundAlone - soundAlone),
+  };
+}
+
+// Guards against sound requests that are refused for minutes after all backend servers lost power, as they share parts that were at each of
+// them (RECOVER).
+test.test('a loss of all backend servers refuses no part', () => {
+  for (const runners of [2, 6, 16]) {
+    for (const gapMs of [0, 50, 300, 1500]) {
+      for (let seed = 1; seed <= 10; seed++) {
+        const {refused, alone} = playLosses(seed, gapMs, runners);
+        const detail = `${runners} runners, ${gapMs} ms, seed ${seed}: ${refused} refused, ${alone} alone`;
+        assert.ok(refused <= 0.01, detail);
+        assert.ok(alone <= 0.02, detail);
+      }
+    }
+  }
+});
+
 test.test('a deadly part beside ordinary crashes', () => {
   for (let seed = 1; seed <= 20; seed++) {
     const sim = new Simulation({seed, deadly: {'bad-a': 0.05}});
--- a/packages/fleet/src/crashes.ts
+++ b/packages/fleet/src/crashes.ts
@@ -147,7 +147,9 @@
     const nowMs = this.options.clock.nowMs();
     this.crashCount++;
     const crash: decisions.suspects.Crash = {
-      crashId: `${this.options.host}/${nowMs}/${this.crashCount}`,
+      crashId: decisions.suspects.crashIdOf(
+        ...([this.options.host, nowMs, this.crashCount] as const),
+      ),
       backendServer: server,
       atMs: nowMs,
       requests: [...requests.values()],
