Requests that callers repeat are not refused for an hour after a loss of power

Callers saw, after all backend servers had lost power and were back, 503 (suspect-request, without Retry-After) for an hour to each request whose content had been at two of them: equal requests of many callers, as for a popular page, are one request to the records of crashes. Refused requests never run, so none could clear it.

A completion up to a minute before a crash now outweighs it, as an answer does for prompt parts: hosts remember the last 4,096 contents that completed and tell the others when a crash lists one. A refused content is tried again 10 s after its last crash, alone on a runner, then after twice that; the refusal tells that time as Retry-After. A content that has crashed two servers and never completed is refused as before.

The test 'a request that crashed two engines is refused at every host' (trials) holds.

--- a/packages/decisions/src/suspectparts.ts
+++ b/packages/decisions/src/suspectparts.ts
@@ -13,9 +13,6 @@
 /** How long a single crash makes its parts suspect, in milliseconds. */
 export const SUSPICION_MS = 15_000;
 
-/** An answer given this long before a crash, or less, counts against one crash, in milliseconds. */
-export const CREDIT_MS = 60_000;
-
 /** How long after its last crash a refused part is tried again, in milliseconds; doubles with each further crash. */
 export const FIRST_TRIAL_MS = 30_000;
 
@@ -28,9 +25,6 @@
 /** Reports of one backend server within this time are of the same crash, in milliseconds. */
 const MIN_RESTART_MS = 1000;
 
-/** Crashes of several backend servers with less than this between them may have one cause, such as a loss of power, in milliseconds. */
-const COMMON_CAUSE_MS = 1000;
-
 /** So many crashes during requests with one part that ran at the same time have one cause; two may well be the part's. */
 const COMMON_CAUSE_CRASHES = 3;
 
@@ -56,6 +50,7 @@
 interface CrashEvent {
   /** The first one first. */
   readonly reports: readonly suspects.Crash[];
+  readonly firstMs: number;
   readonly lastMs: number;
   /** The last dispatches of requests with each part, one for each host. */
   readonly parts: ReadonlyMap<string, readonly suspects.Dispatch[]>;
@@ -212,7 +207,10 @@
         const answered = answeredMs.get(part) ?? -Infinity;
         if (event.lastMs <= answered) continue;
         const known = this.eventsByPart.get(part) ?? [];
-        if (known.length === 0 && event.lastMs - answered <= CREDIT_MS) {
+        if (
+          known.length === 0 &&
+          event.lastMs - answered <= suspects.CREDIT_MS
+        ) {
           this.credited.add(part);
         }
         this.eventsByPart.set(part, [...known, event]);
@@ -235,7 +233,7 @@
   /** The number of these crashes of a part, where those with one cause count once, less one if it was answered shortly before. */
   score(part: string, events: readonly CrashEvent[]): number {
     return this.credited.has(part)
-      ? countApart(events) - 1
+      ? suspects.countApart(events) - 1
       : countInTurn(part, events);
   }
 
@@ -287,17 +285,6 @@
   return {parts, events, crashes: bestScore};
 }
 
-/** Counts crashes; those that follow each other within `COMMON_CAUSE_MS` count as one. */
-function countApart(events: readonly CrashEvent[]): number {
-  let lastMs = -Infinity;
-  let count = 0;
-  for (const event of events) {
-    if (event.reports[0].atMs - lastMs > COMMON_CAUSE_MS) count++;
-    lastMs = Math.max(lastMs, event.lastMs);
-  }
-  return count;
-}
-
 /**
  * Counts crashes of a part that no answer speaks for. Those of requests that
  * were under way at the same time count as one if they are many.
@@ -347,7 +334,9 @@
     const own = dispatchesByPart(report);
     if (last === undefined || index === undefined || !isSame) {
       lastByServer.set(backendServer, events.length);
-      events.push({reports: [report], lastMs: atMs, parts: own});
+      events.push({
+        ...{reports: [report], firstMs: atMs, lastMs: atMs, parts: own},
+      });
       continue;
     }
     const parts = new Map(last.parts);
@@ -356,6 +345,7 @@
     }
     events[index] = {
       reports: [...last.reports, report],
+      firstMs: last.firstMs,
       lastMs: Math.max(last.lastMs, atMs),
       parts,
     };
--- a/packages/decisions/src/suspects.ts
+++ b/packages/decisions/src/suspects.ts
@@ -7,6 +7,18 @@
 /** The number of crash reports kept; the latest ones are kept. */
 export const MAX_REPORTS = 512;
 
+/** An answer given this long before a crash, or less, counts against one crash, in milliseconds. */
+export const CREDIT_MS = 60_000;
+
+/** Crashes of several backend servers with less than this between them may have one cause, such as a loss of power, in milliseconds. */
+const COMMON_CAUSE_MS = 1000;
+
+/** How long after its last crash a refused request is tried again, in milliseconds; doubles with each further crash. */
+const FIRST_TRIAL_MS = 10_000;
+
+/** The longest time until a refused request is tried again, in milliseconds. */
+const MAX_TRIAL_MS = 1_800_000;
+
 /** The greatest difference between the clocks of two hosts, in milliseconds. */
 const MAX_SKEW_MS = 200;
 
@@ -35,8 +47,8 @@
  * The suspect requests: fingerprints of requests that were in flight when
  * backend servers crashed. Adding crashes is commutative and idempotent, so
  * hosts may exchange reports in any order and any number of times. A
- * completion cancels the earlier crashes of its fingerprint, which clears
- * requests that were in flight by coincidence.
+ * completion cancels the earlier crashes of its fingerprint, and outweighs one
+ * crash soon after it, which clears requests that were in flight by coincidence.
  */
 export class SuspectRequests {
   private constructor(
@@ -85,18 +97,28 @@
     return new SuspectRequests(new Map(crashes), new Map(completed));
   }
 
+  /** True when the fingerprint was at a crash since its last completion on record. */
+  isAccused(fingerprint: string): boolean {
+    return this.openCrashesOf(fingerprint).length > 0;
+  }
+
   /** Returns the status of requests with this fingerprint. One whose answer had begun at its only crash is clear. */
   statusOf(fingerprint: string): SuspectStatus {
-    const sinceMs = this.completedMs.get(fingerprint) ?? -Infinity;
-    const crashes = this.crashesOf(fingerprint).filter(
-      crash => crash.atMs > sinceMs,
-    );
-    const count = countDistinctCrashes(crashes, fingerprint);
+    const crashes = this.openCrashesOf(fingerprint);
+    const count = this.countOf(fingerprint, crashes);
     if (count >= CRASHES_TO_REFUSE) return 'refused';
     const isCandidate = crashes.some(({requests}) =>
       requests.some(r => r.fingerprint === fingerprint && !r.hasBegun),
     );
-    return isCandidate ? 'suspect' : 'clear';
+    return isCandidate && count > 0 ? 'suspect' : 'clear';
+  }
+
+  /** Returns when a request with a refused fingerprint is tried again, as a suspect one. */
+  retryAtMs(fingerprint: string): number {
+    const crashes = this.openCrashesOf(fingerprint);
+    const lastMs = Math.max(...crashes.map(({atMs}) => atMs));
+    const doublings = this.countOf(fingerprint, crashes) - CRASHES_TO_REFUSE;
+    return lastMs + Math.min(MAX_TRIAL_MS, FIRST_TRIAL_MS * 2 ** doublings);
   }
 
   /** The time at which each fingerprint last completed, for sending to a host that joins. */
@@ -109,6 +131,23 @@
     return [...this.crashes.values()];
   }
 
+  /** The crashes since the last completion. */
+  private openCrashesOf(fingerprint: string): readonly Crash[] {
+    const sinceMs = this.completedMs.get(fingerprint) ?? -Infinity;
+    return this.crashesOf(fingerprint).filter(({atMs}) => atMs > sinceMs);
+  }
+
+  /** The number of these crashes, where those with one cause count once, less one if the request completed shortly before. */
+  private countOf(fingerprint: string, crashes: readonly Crash[]): number {
+    const sorted = [...crashes].sort(compareReports);
+    const completedMs = this.completedMs.get(fingerprint) ?? -Infinity;
+    const isCredited =
+      sorted.length > 0 && sorted[0].atMs - completedMs <= CREDIT_MS;
+    return isCredited
+      ? countApart(sorted.map(({atMs}) => ({firstMs: atMs, lastMs: atMs}))) - 1
+      : countDistinctCrashes(sorted, fingerprint);
+  }
+
   private crashesOf(fingerprint: string): readonly Crash[] {
     return this.allCrashes().filter(crash =>
       crash.requests.some(request => request.fingerprint === fingerprint),
@@ -127,11 +166,10 @@
   crashes: readonly Crash[],
   fingerprint: string,
 ): number {
-  const sorted = [...crashes].sort(compareReports);
   const lastMs = new Map<string, number>();
   let countedMs = -Infinity;
   let count = 0;
-  for (const {backendServer, atMs, requests} of sorted) {
+  for (const {backendServer, atMs, requests} of crashes) {
     const previousMs = lastMs.get(backendServer) ?? -Infinity;
     const sinceMs = Math.max(previousMs, countedMs);
     const isOtherCrash = requests.some(request => {
@@ -147,6 +185,19 @@
   return count;
 }
 
+/** Counts crashes in the order of time; those that follow each other within `COMMON_CAUSE_MS` count as one. */
+export function countApart(
+  crashes: readonly {readonly firstMs: number; readonly lastMs: number}[],
+): number {
+  let lastMs = -Infinity;
+  let count = 0;
+  for (const crash of crashes) {
+    if (crash.firstMs - lastMs > COMMON_CAUSE_MS) count++;
+    lastMs = Math.max(lastMs, crash.lastMs);
+  }
+  return count;
+}
+
 /** Names the report of a crash; unique among all hosts. */
 export function crashIdOf(host: string, atMs: number, number: number): string {
   return `${host}/${atMs}/${number}`;
--- a/packages/fleet/src/crashes.ts
+++ b/packages/fleet/src/crashes.ts
@@ -7,6 +7,8 @@
 const EXPIRE_INTERVAL_MS = 60_000;
 /** The most prompt parts of which the last answer is remembered. */
 export const MAX_ANSWERED_PARTS = 4096;
+/** The most requests of which the last completion is remembered. */
+export const MAX_COMPLETED = 4096;
 /** About so many hosts send their records to a host that joins. */
 const SENDERS_TO_JOINER = 8;
 
@@ -25,7 +27,7 @@
   /** The prompt parts that it is judged by; empty when it is judged as a whole. */
   readonly parts: readonly string[];
   readonly crashIds: readonly string[];
-  /** How long a request with a refused part has to wait until one is tried again, in milliseconds. */
+  /** How long a refused request has to wait until one like it is tried again, in milliseconds. */
   readonly retryAfterMs: number;
 }
 
@@ -51,6 +53,8 @@
   private parts = decisions.suspectparts.SuspectParts.empty;
   /** When a request with each part was last answered, the least recent first. */
   private readonly answeredMs = new Map<string, number>();
+  /** When each request last completed, by fingerprint, the least recent first. */
+  private readonly completedMs = new Map<string, number>();
   /** Requests in flight, by backend server; each has a key of its own, as several may have one id. */
   private readonly inFlight = new Map<
     string,
@@ -91,9 +95,18 @@
     return this.answeredMs.size;
   }
 
+  /** The number of requests of which the last completion is remembered. */
+  get rememberedRequests(): number {
+    return this.completedMs.size;
+  }
+
   /** Returns whether requests with this fingerprint are clear, suspect or refused. */
   statusOf(fingerprint: string): decisions.suspects.SuspectStatus {
-    return this.suspects.statusOf(fingerprint);
+    const status = this.suspects.statusOf(fingerprint);
+    const isTried =
+      status === 'refused' &&
+      this.options.clock.nowMs() >= this.suspects.retryAtMs(fingerprint);
+    return isTried ? 'suspect' : status;
   }
 
   /** Returns the standing of a request by its fingerprint and its parts, whichever is worse. */
@@ -103,7 +116,11 @@
     const found = this.parts.statusOf(request.parts, nowMs);
     const isWorse = SEVERITY[whole] > SEVERITY[found.status];
     if (isWorse) {
-      return {status: whole, parts: [], crashIds: [], retryAfterMs: 0};
+      const retryAfterMs =
+        whole === 'refused'
+          ? this.suspects.retryAtMs(request.fingerprint) - nowMs
+          : 0;
+      return {status: whole, parts: [], crashIds: [], retryAfterMs};
     }
     const {status, parts, crashIds, retryAtMs} = found;
     const retryAfterMs = Math.max(0, retryAtMs - nowMs);
@@ -169,8 +186,9 @@
     const atMs = this.options.clock.nowMs();
     const answered = parts.filter(part => this.parts.isAccused(part));
     for (const part of parts) this.rememberAnswer(part, atMs);
+    remember(this.completedMs, MAX_COMPLETED, fingerprint, atMs);
     const cleared = answered.map(part => clearedPart(part, atMs));
-    if (this.suspects.statusOf(fingerprint) !== 'clear') {
+    if (this.suspects.isAccused(fingerprint)) {
       cleared.push({fingerprint, atMs, part: ''});
     }
     if (cleared.length > 0) this.clear(cleared, '');
@@ -218,15 +236,18 @@
     this.vouch(crashes);
   }
 
-  /** Tells when the parts of crashes were last answered; another host may not know. */
+  /** Tells when the requests at crashes last completed, and when their parts were last answered; another host may not know. */
   private vouch(crashes: readonly decisions.suspects.Crash[]): void {
-    const accused = new Set(
-      crashes.flatMap(({requests}) => requests.flatMap(({parts}) => parts)),
-    );
+    const requests = crashes.flatMap(crash => crash.requests);
+    const accused = new Set(requests.flatMap(({parts}) => parts));
     const cleared = [...accused].flatMap(part => {
       const atMs = this.answeredMs.get(part);
       return atMs === undefined ? [] : [clearedPart(part, atMs)];
     });
+    for (const fingerprint of new Set(requests.map(r => r.fingerprint))) {
+      const atMs = this.completedMs.get(fingerprint);
+      if (atMs !== undefined) cleared.push({fingerprint, atMs, part: ''});
+    }
     if (cleared.length > 0) this.clear(cleared, '');
   }
 
@@ -247,14 +268,7 @@
   }
 
   private rememberAnswer(part: string, atMs: number): void {
-    const known = this.answeredMs.get(part) ?? -Infinity;
-    this.answeredMs.delete(part);
-    this.answeredMs.set(part, Math.max(known, atMs));
-    if (this.answeredMs.size <= MAX_ANSWERED_PARTS) return;
-    for (const oldest of this.answeredMs.keys()) {
-      this.answeredMs.delete(oldest);
-      return;
-    }
+    remember(this.answeredMs, MAX_ANSWERED_PARTS, part, atMs);
   }
 
   private sendNews(
@@ -274,6 +288,23 @@
   refused: 2,
 };
 
+/** Sets the latest time of a key, as the most recent of at most `most`. */
+function remember(
+  times: Map<string, number>,
+  most: number,
+  key: string,
+  atMs: number,
+): void {
+  const known = times.get(key) ?? -Infinity;
+  times.delete(key);
+  times.set(key, Math.max(known, atMs));
+  if (times.size <= most) return;
+  for (const oldest of times.keys()) {
+    times.delete(oldest);
+    return;
+  }
+}
+
 function clearedPart(part: string, atMs: number): peers.messages.Cleared {
   return {fingerprint: '', atMs, part};
 }
--- a/packages/gateway/src/suspectrejections.ts
+++ b/packages/gateway/src/suspectrejections.ts
@@ -10,7 +10,8 @@
 ): requests.Rejection | undefined {
   if (standing.status !== 'refused') return undefined;
   if (standing.parts.length === 0) {
-    return requests.rejection(STATUS, 'suspect-request');
+    const {retryAfterMs} = standing;
+    return requests.rejection(STATUS, 'suspect-request', retryAfterMs);
   }
   const detail = `parts ${standing.parts.join(' ')}, crashes ${standing.crashIds.join(' ')}`;
   return requests.rejection(
