A lower limit of a backend server delays its next start by at most 5 s

Callers saw 503 for a service whose only servers had lowered their stated limit while starts beyond the limit before were being paid back, for up to half an hour: a debt of 4 s at 100 requests/s became 400 s at 1/s and 2,000 s at 0.2/s or 0, since the rest of the wait grew with the interval. As no request was sent, nobody learned that the limit had been lifted.

The wait is now bounded as it is for starts beyond the rate, by 4 s or one interval, which is 5 s at most.

--- a/packages/decisions/src/startrate.test.ts
+++ b/packages/decisions/src/startrate.test.ts
@@ -60,3 +60,14 @@
   for (let i = 0; i < 50; i++) rate = rate.start(1000);
   assert.ok(rate.allows(5000));
 });
+
+// Guards against a server that gets nothing for half an hour, as its limit fell while starts beyond the one before were paid back (RECOVER).
+test.test('a lower limit delays the next start for a bounded time', () => {
+  let rate = startrates.StartRate.of(100, 0);
+  for (let i = 0; i < 600; i++) rate = rate.start(1000);
+  for (const limitPerS of [0, 0.2, 1, 10]) {
+    const lower = rate.withLimit(limitPerS, 1000);
+    assert.ok(lower.nextMs <= 6000, `${limitPerS}/s: ${lower.nextMs}`);
+    assert.ok(lower.nextMs >= 5000, `${limitPerS}/s: ${lower.nextMs}`);
+  }
+});
--- a/packages/decisions/src/startrate.ts
+++ b/packages/decisions/src/startrate.ts
@@ -38,7 +38,7 @@
   start(nowMs: number): StartRate {
     const ownMs = intervalMs(this.limitPerS);
     const nextMs = Math.max(this.nextMs, nowMs - CATCH_UP_MS) + ownMs;
-    const latestMs = nowMs + Math.max(ownMs, MAX_DEBT_MS);
+    const latestMs = latestNextMs(this.limitPerS, nowMs);
     return new StartRate(this.limitPerS, Math.min(nextMs, latestMs));
   }
 
@@ -48,12 +48,14 @@
     return new StartRate(this.limitPerS, nextMs);
   }
 
-  /** Changes the limit; the rest of the wait for the next start grows or shrinks with the interval. */
+  /** Changes the limit; the rest of the wait for the next start grows or shrinks with the interval, up to what starts beyond the rate may delay it. */
   withLimit(limitPerS: number, nowMs: number): StartRate {
     if (limitPerS === this.limitPerS) return this;
     const leftMs = Math.max(0, this.nextMs - nowMs);
     const factor = intervalMs(limitPerS) / intervalMs(this.limitPerS);
-    return new StartRate(limitPerS, nowMs + leftMs * factor);
+    const latestMs = latestNextMs(limitPerS, nowMs);
+    const nextMs = Math.min(nowMs + leftMs * factor, latestMs);
+    return new StartRate(limitPerS, nextMs);
   }
 
   /** The starts allowed in a millisecond. */
@@ -62,6 +64,11 @@
   }
 }
 
+/** Returns the latest time at which the next start is allowed. */
+function latestNextMs(limitPerS: number, nowMs: number): number {
+  return nowMs + Math.max(intervalMs(limitPerS), MAX_DEBT_MS);
+}
+
 function intervalMs(limitPerS: number): number {
   return MS_PER_S / Math.max(limitPerS, LEAST_STARTS_PER_S);
 }
