News of crashes is not dated later than its receipt

Callers of a host whose clock is behind those of the others, as it may be after a boot, saw 503 (suspect-request, suspect-part) for as long as the clock was behind, beside the usual times: crashes that other hosts told it were in its future, so that its own answers cleared nothing.

News whose latest time is more than 0.2 s ahead of the receiver's clock is moved back as a whole, so that the order within it stays.

Evidence, the new test before: '3600000 ms later' than at the host that saw the crashes; after at most 500 ms. Not covered: a host's own records after its own clock was set back.

--- a/packages/decisions/src/suspects.ts
+++ b/packages/decisions/src/suspects.ts
@@ -20,7 +20,7 @@
 const MAX_TRIAL_MS = 1_800_000;
 
 /** The greatest difference between the clocks of two hosts, in milliseconds. */
-const MAX_SKEW_MS = 200;
+export const MAX_SKEW_MS = 200;
 
 /** A request that was in flight when a backend server crashed. */
 export interface InFlightRequest {
--- a/packages/fleet/src/crashes.test.ts
+++ b/packages/fleet/src/crashes.test.ts
@@ -424,6 +424,29 @@
   assert.equal(host.standingOf(identity).status, 'clear');
 });
 
+// Guards against a request that a host refuses for as long as its clock is behind the others', as after a boot (RECOVER).
+test.test('a host whose clock is an hour behind refuses no longer', () => {
+  const sim = new Simulation({
+    ...{seed: 1, deadly: {}, hosts: 2, skewMs: -3_600_000},
+  });
+  const identity = {requestId: 'r', fingerprint: 'f', parts: ['p']};
+  for (const server of ['a', 'b']) {
+    sim.play(1000, 0);
+    sim.hosts[0].trackInFlight(server, identity);
+    sim.play(1000, 0);
+    sim.hosts[0].recordCrash(server);
+  }
+  sim.play(100, 0);
+  const [first, behind] = sim.hosts.map(host => host.standingOf(identity));
+  assert.equal(first.status, 'refused');
+  assert.equal(behind.status, 'refused');
+  const laterMs = behind.retryAfterMs - first.retryAfterMs;
+  assert.ok(laterMs <= 500, `${laterMs} ms later`);
+  sim.hosts[0].recordCompletion('f', ['p']);
+  sim.play(100, 0);
+  assert.equal(sim.hosts[1].standingOf(identity).status, 'clear');
+});
+
 test.test('a deadly part beside ordinary crashes', () => {
   for (let seed = 1; seed <= 20; seed++) {
     const sim = new Simulation({seed, deadly: {'bad-a': 0.05}});
--- a/packages/fleet/src/crashes.ts
+++ b/packages/fleet/src/crashes.ts
@@ -47,6 +47,11 @@
   readonly parts: readonly string[];
 }
 
+type CrashNews = Pick<
+  peers.messages.MessageBodies['news'],
+  'crashes' | 'cleared'
+>;
+
 /** Tracks suspect requests, which were in flight when backend servers crashed, and shares them with other hosts. */
 export class Crashes {
   private suspects = decisions.suspects.SuspectRequests.empty;
@@ -196,11 +201,13 @@
 
   /** Merges crash news from another host and passes it on if any of it is new. */
   onNews(from: string, news: peers.messages.MessageBodies['news']): void {
-    this.add(news.crashes, from);
-    for (const {part, atMs} of news.cleared) {
+    const nowMs = this.options.clock.nowMs();
+    const {crashes, cleared} = notAfter(nowMs, news);
+    this.add(crashes, from);
+    for (const {part, atMs} of cleared) {
       if (part !== '') this.rememberAnswer(part, atMs);
     }
-    this.clear(news.cleared, from);
+    this.clear(cleared, from);
   }
 
   /** Sends what is on record to a host that has joined or can be reached again; `serving` is the number of hosts, of which only some send. */
@@ -271,10 +278,7 @@
     remember(this.answeredMs, MAX_ANSWERED_PARTS, part, atMs);
   }
 
-  private sendNews(
-    news: Pick<peers.messages.MessageBodies['news'], 'crashes' | 'cleared'>,
-    except: string,
-  ): void {
+  private sendNews(news: CrashNews, except: string): void {
     for (const host of this.options.targets(except)) {
       const body = {members: [], statements: [], ...news};
       this.options.router.send(host, {kind: 'news', body});
@@ -288,6 +292,27 @@
   refused: 2,
 };
 
+/** Moves news back in time that seems to be from later than now, as the clocks of hosts may differ, for example after a boot. */
+function notAfter(nowMs: number, {crashes, cleared}: CrashNews): CrashNews {
+  const lastMs = Math.max(...[...crashes, ...cleared].map(({atMs}) => atMs));
+  const aheadMs = lastMs - nowMs;
+  if (aheadMs <= decisions.suspects.MAX_SKEW_MS) return {crashes, cleared};
+  const earlier = <T extends {readonly atMs: number}>(one: T): T => ({
+    ...one,
+    atMs: one.atMs - aheadMs,
+  });
+  return {
+    crashes: crashes.map(crash => ({
+      ...earlier(crash),
+      requests: crash.requests.map(request => ({
+        ...request,
+        dispatchedMs: request.dispatchedMs - aheadMs,
+      })),
+    })),
+    cleared: cleared.map(earlier),
+  };
+}
+
 /** Sets the latest time of a key, as the most recent of at most `most`. */
 function remember(
   times: Map<string, number>,
