--- a/packages/fleet/src/crashes.ts
+++ b/packages/fleet/src/crashes.ts
@@ -7,6 +7,8 @@
 const EXPIRE_INTERVAL_MS = 60_000;
 /** The most prompt parts of which the last answer is remembered. */
 export const MAX_ANSWERED_PARTS = 4096;
+/** The most requests of which the last completion is remembered. */
+export const MAX_COMPLETED = 4096;
 /** About so many hosts send their records to a host that joins. */
 const SENDERS_TO_JOINER = 8;
 
@@ -25,7 +27,7 @@
   /** The prompt parts that it is judged by; empty when it is judged as a whole. */
   readonly parts: readonly string[];
   readonly crashIds: readonly string[];
-  /** How long a request with a refused part has to wait until one is tried again, in milliseconds. */
+  /** How long a refused request has to wait until one like it is tried again, in milliseconds. */
   readonly retryAfterMs: number;
 }
 
@@ -45,12 +47,19 @@
   readonly parts: readonly string[];
 }
 
+type CrashNews = Pick<
+  peers.messages.MessageBodies['news'],
+  'crashes' | 'cleared'
+>;
+
 /** Tracks suspect requests, which were in flight when backend servers crashed, and shares them with other hosts. */
 export class Crashes {
   private suspects = decisions.suspects.SuspectRequests.empty;
   private parts = decisions.suspectparts.SuspectParts.empty;
   /** When a request with each part was last answered, the least recent first. */
   private readonly answeredMs = new Map<string, number>();
+  /** When each request last completed, by fingerprint, the least recent first. */
+  private readonly completedMs = new Map<string, number>();
   /** Requests in flight, by backend server; each has a key of its own, as several may have one id. */
   private readonly inFlight = new Map<
     string,
@@ -91,9 +100,18 @@
     return this.answeredMs.size;
   }
 
+  /** The number of requests of which the last completion is remembered. */
+  get rememberedRequests(): number {
+    return this.completedMs.size;
+  }
+
   /** Returns whether requests with this fingerprint are clear, suspect or refused. */
   statusOf(fingerprint: string): decisions.suspects.SuspectStatus {
-    return this.suspects.statusOf(fingerprint);
+    const status = this.suspects.statusOf(fingerprint);
+    const isTried =
+      status === 'refused' &&
+      this.options.clock.nowMs() >= this.suspects.retryAtMs(fingerprint);
+    return isTried ? 'suspect' : status;
   }
 
   /** Returns the standing of a request by its fingerprint and its parts, whichever is worse. */
@@ -103,7 +121,11 @@
     const found = this.parts.statusOf(request.parts, nowMs);
     const isWorse = SEVERITY[whole] > SEVERITY[found.status];
     if (isWorse) {
-      return {status: whole, parts: [], crashIds: [], retryAfterMs: 0};
+      const retryAfterMs =
+        whole === 'refused'
+          ? this.suspects.retryAtMs(request.fingerprint) - nowMs
+          : 0;
+      return {status: whole, parts: [], crashIds: [], retryAfterMs};
     }
     const {status, parts, crashIds, retryAtMs} = found;
     const retryAfterMs = Math.max(0, retryAtMs - nowMs);
@@ -147,7 +169,9 @@
     const nowMs = this.options.clock.nowMs();
     this.crashCount++;
     const crash: decisions.suspects.Crash = {
-      crashId: `${this.options.host}/${nowMs}/${this.crashCount}`,
+      crashId: decisions.suspects.crashIdOf(
+        ...([this.options.host, nowMs, this.crashCount] as const),
+      ),
       backendServer: server,
       atMs: nowMs,
       requests: [...requests.values()],
@@ -167,8 +191,9 @@
     const atMs = this.options.clock.nowMs();
     const answered = parts.filter(part => this.parts.isAccused(part));
     for (const part of parts) this.rememberAnswer(part, atMs);
+    remember(this.completedMs, MAX_COMPLETED, fingerprint, atMs);
     const cleared = answered.map(part => clearedPart(part, atMs));
-    if (this.suspects.statusOf(fingerprint) !== 'clear') {
+    if (this.suspects.isAccused(fingerprint)) {
       cleared.push({fingerprint, atMs, part: ''});
     }
     if (cleared.length > 0) this.clear(cleared, '');
@@ -176,11 +201,13 @@
 
   /** Merges crash news from another host and passes it on if any of it is new. */
   onNews(from: string, news: peers.messages.MessageBodies['news']): void {
-    this.add(news.crashes, from);
-    for (const {part, atMs} of news.cleared) {
+    const nowMs = this.options.clock.nowMs();
+    const {crashes, cleared} = notAfter(nowMs, news);
+    this.add(crashes, from);
+    for (const {part, atMs} of cleared) {
       if (part !== '') this.rememberAnswer(part, atMs);
     }
-    this.clear(news.cleared, from);
+    this.clear(cleared, from);
   }
 
   /** Sends what is on record to a host that has joined or can be reached again; `serving` is the number of hosts, of which only some send. */
@@ -216,15 +243,18 @@
     this.vouch(crashes);
   }
 
-  /** Tells when the parts of crashes were last answered; another host may not know. */
+  /** Tells when the requests at crashes last completed, and when their parts were last answered; another host may not know. */
   private vouch(crashes: readonly decisions.suspects.Crash[]): void {
-    const accused = new Set(
-      crashes.flatMap(({requests}) => requests.flatMap(({parts}) => parts)),
-    );
+    const requests = crashes.flatMap(crash => crash.requests);
+    const accused = new Set(requests.flatMap(({parts}) => parts));
     const cleared = [...accused].flatMap(part => {
       const atMs = this.answeredMs.get(part);
       return atMs === undefined ? [] : [clearedPart(part, atMs)];
     });
+    for (const fingerprint of new Set(requests.map(r => r.fingerprint))) {
+      const atMs = this.completedMs.get(fingerprint);
+      if (atMs !== undefined) cleared.push({fingerprint, atMs, part: ''});
+    }
     if (cleared.length > 0) this.clear(cleared, '');
   }
 
@@ -245,20 +275,10 @@
   }
 
   private rememberAnswer(part: string, atMs: number): void {
-    const known = this.answeredMs.get(part) ?? -Infinity;
-    this.answeredMs.delete(part);
-    this.answeredMs.set(part, Math.max(known, atMs));
-    if (this.answeredMs.size <= MAX_ANSWERED_PARTS) return;
-    for (const oldest of this.answeredMs.keys()) {
-      this.answeredMs.delete(oldest);
-      return;
-    }
+    remember(this.answeredMs, MAX_ANSWERED_PARTS, part, atMs);
   }
 
-  private sendNews(
-    news: Pick<peers.messages.MessageBodies['news'], 'crashes' | 'cleared'>,
-    except: string,
-  ): void {
+  private sendNews(news: CrashNews, except: string): void {
     for (const host of this.options.targets(except)) {
       const body = {members: [], statements: [], ...news};
       this.options.router.send(host, {kind: 'news', body});
@@ -272,6 +292,44 @@
   refused: 2,
 };
 
+/** Moves news back in time that seems to be from later than now, as the clocks of hosts may differ, for example after a boot. */
+function notAfter(nowMs: number, {crashes, cleared}: CrashNews): CrashNews {
+  const lastMs = Math.max(...[...crashes, ...cleared].map(({atMs}) => atMs));
+  const aheadMs = lastMs - nowMs;
+  if (aheadMs <= decisions.suspects.MAX_SKEW_MS) return {crashes, cleared};
+  const earlier = <T extends {readonly atMs: number}>(one: T): T => ({
+    ...one,
+    atMs: one.atMs - aheadMs,
+  });
+  return {
+    crashes: crashes.map(crash => ({
+      ...earlier(crash),
+      requests: crash.requests.map(request => ({
+        ...request,
+        dispatchedMs: request.dispatchedMs - aheadMs,
+      })),
+    })),
+    cleared: cleared.map(earlier),
+  };
+}
+
+/** Sets the latest time of a key, as the most recent of at most `most`. */
+function remember(
+  times: Map<string, number>,
+  most: number,
+  key: string,
+  atMs: number,
+): void {
+  const known = times.get(key) ?? -Infinity;
+  times.delete(key);
+  times.set(key, Math.max(known, atMs));
+  if (times.size <= most) return;
+  for (const oldest of times.keys()) {
+    times.delete(oldest);
+    return;
+  }
+}
+
 function clearedPart(part: string, atMs: number): peers.messages.Cleared {
   return {fingerprint: '', atMs, part};
 }
