Requests from before a loss do not put down a server that is back

What callers saw: links to a backend server fell silent without a reset and came back, and it served at once. Some seconds later, when requests that hung from before reached their deadlines, all requests to it were refused for seconds (503), though it answered. Where all servers had been lost, so were they all, up to the longest timeout (15 s) and the longest backoff (5 s) after the loss.

Cause: an attempt without an answer at its deadline marks its backend server as down, also if that has completed others since, and several at once count as several in a row, so the backoff is at its longest at once.

Change: silence of an attempt is a failure of that attempt only, if the runner has completed another one half a second or more after its grant.

--- a/packages/decisions/src/cell.test.ts
+++ b/packages/decisions/src/cell.test.ts
@@ -7,6 +7,7 @@
 import * as cellchecker from './cellchecker.js';
 import type * as events from './cellevents.js';
 import type * as config from './config.js';
+import type * as runners from './runner.js';
 import type * as tickets from './ticket.js';
 
 const SEED = 20261204;
@@ -763,3 +764,29 @@
   applied = cell.apply(ask(hopeless), 30_000);
   assert.deepEqual(refusals(applied), ['hopeless']);
 });
+
+// Guards against a sound runner that is put down as requests from before its last fall reach their deadlines (RECOVER).
+test.test('silence counts only since the last completion', () => {
+  const measured = {prefillTokens: 0, outputTokens: 100, firstTokenMs: 0};
+  const completed = {
+    kind: 'completed' as const,
+    measured: {...measured, durationMs: 100},
+  };
+  const done = (ticketId: string, outcome: runners.Outcome) => ({
+    ...{kind: 'done' as const, ticketId, outcome},
+  });
+  let cell = cellWith(server('s1'));
+  for (const id of ['old1', 'old2', 'old3']) {
+    cell = cell.apply(ask(ticket(id)), 0).cell;
+  }
+  cell = cell.apply(ask(ticket('answered')), 5000).cell;
+  cell = cell.apply(done('answered', completed), 5100).cell;
+  for (const id of ['old1', 'old2', 'old3']) {
+    cell = cell.apply(done(id, {kind: 'silent'}), 9000).cell;
+  }
+  let applied = cell.apply(ask(ticket('next')), 9100);
+  assert.deepEqual(grants(applied), ['next']);
+  applied = applied.cell.apply(done('next', {kind: 'silent'}), 11_000);
+  applied = applied.cell.apply(ask(ticket('last')), 11_100);
+  assert.deepEqual(grants(applied), []);
+});
--- a/packages/decisions/src/cell.ts
+++ b/packages/decisions/src/cell.ts
@@ -312,7 +312,7 @@
     const wasAnswered = outcome.kind === 'completed';
     const freed = runner
       .release(grant.ticket, wasAnswered, nowMs)
-      .recordOutcome(outcome, nowMs);
+      .recordOutcome(outcome, nowMs, grant.grantedMs);
     const next = new Map(this.fields.runners).set(freed.name, freed);
     return this.withFields({
       running,
--- a/packages/decisions/src/runner.ts
+++ b/packages/decisions/src/runner.ts
@@ -37,6 +37,9 @@
 /** A pace says little of a runner on which nothing has run or completed for this time, in milliseconds. */
 const PACE_TTL_MS = 5000;
 
+/** A completion that is recorded this long after the grant of another attempt shows that the runner was sound after it, in milliseconds. */
+const SOUND_AFTER_MS = 500;
+
 /** How long a runner stays `leaving` after the last report that it leaves, in milliseconds. */
 const LEAVING_HOLD_MS = 5000;
 
@@ -468,8 +471,16 @@
     return startRate ? this.with({startRate: startRate.withdraw()}) : this;
   }
 
-  /** Applies the outcome of an attempt to the state, pace and failure rate. */
-  recordOutcome(outcome: Outcome, nowMs: number): Runner {
+  /**
+   * Applies the outcome of an attempt granted at `grantedMs` to the state, pace
+   * and failure rate. An attempt that hangs on a lost connection is silent until
+   * its deadline; if others completed meanwhile, only that attempt failed.
+   */
+  recordOutcome(outcome: Outcome, nowMs: number, grantedMs = nowMs): Runner {
+    const isPast = this.fields.progressMs >= grantedMs + SOUND_AFTER_MS;
+    if (outcome.kind === 'silent' && isPast) {
+      return this.recordFailure(false, nowMs);
+    }
     const handler = OUTCOME_HANDLERS[outcome.kind] as (
       runner: Runner,
       outcome: Outcome,
