Tests of the longest time that limits refuse after a loss of power

Of a backend server: a time to back off ends with its start, and a cold one is warm a warm-up and 1.2 s after its last refused connection.

--- a/packages/gateway/src/allowanceload.test.ts
+++ b/packages/gateway/src/allowanceload.test.ts
@@ -45,6 +45,8 @@
   readonly moved?: Span & {readonly every: number};
   /** Every n-th host does not reach the hub. */
   readonly cut?: Span & {readonly every: number};
+  /** The hub and every n-th host lose power, and start anew at the end. */
+  readonly dark?: Span & {readonly every: number};
   /** The hub starts anew. */
   readonly restartMs?: number;
   /** Callers use so many hosts at a time, others every two seconds. */
@@ -103,8 +105,13 @@
 
   async play(timers: test.MockTimers): Promise<this> {
     this.schedule(0, () => this.arrive());
-    const {restartMs} = this.faults;
+    const {restartMs, dark} = this.faults;
     if (restartMs) this.schedule(restartMs, () => this.start(this.hub));
+    if (dark) {
+      for (const host of this.names.filter(each => this.isLost(each))) {
+        this.schedule(dark.toMs, () => this.start(host));
+      }
+    }
     for (; this.nowMs < END_MS; this.nowMs++) {
       timers.tick(1);
       for (const event of this.events.get(this.nowMs) ?? []) event();
@@ -178,6 +185,16 @@
     );
   }
 
+  /** True for a host that loses power at some time. */
+  private isLost(host: string): boolean {
+    const {dark} = this.faults;
+    return !!dark && (host === this.hub || this.isEvery(dark.every, host));
+  }
+
+  private isDark(host: string): boolean {
+    return isIn(this.faults.dark, this.nowMs) && this.isLost(host);
+  }
+
   private isEvery(every: number, host: string): boolean {
     return this.names.indexOf(host) % every === 0;
   }
@@ -198,6 +215,7 @@
   private send(from: string, to: string, item: peers.messages.Message): void {
     const {slow, lost, cut} = this.faults;
     const {nowMs, hub} = this;
+    if (this.isDark(from)) return;
     const isAtHub = from === hub || to === hub;
     const isCut = isIn(cut, nowMs) && isAtHub && from !== to;
     const other = from === hub ? to : from;
@@ -216,6 +234,7 @@
     to: string,
     {kind, body}: peers.messages.Message,
   ): void {
+    if (this.isDark(to)) return;
     const host = this.hosts.get(to);
     if (kind === 'charge') host?.onCharge(from, body);
     if (kind === 'charged') host?.onCharged(from, body);
@@ -247,6 +266,7 @@
     const turn = Math.floor(this.nowMs / 2000) * spread;
     const index = turn + Math.floor(this.random() * spread);
     const host = this.names[index % HOSTS];
+    if (this.isDark(host)) return;
     const at = this.hosts.get(host);
     const account = {
       ...{name: 't', keys: [], priority: 1, plainTokens: tokens},
@@ -259,6 +279,7 @@
     void at?.charge(accepted).result.then(rejection => {
       const {nowMs: atMs} = this;
       const {failing} = this.faults;
+      if (this.isDark(host)) return;
       if (
         !rejection &&
         isIn(failing, atMs) &&
@@ -299,6 +320,17 @@
   'a part of the hosts alone': {cut: {fromMs: 8000, toMs: 14_000, every: 8}},
   'half of the hosts alone': {cut: {fromMs: 9000, toMs: 12_000, every: 2}},
   'all hosts alone': {cut: {fromMs: 9000, toMs: 12_000, every: 1}},
+  'a loss of all hosts': {dark: {fromMs: 12_000, toMs: 15_500, every: 1}},
+  'a loss of half of the hosts': {
+    slow: {fromMs: 8000, toMs: 12_000},
+    dark: {fromMs: 12_000, toMs: 15_500, every: 2},
+  },
+  'a loss of the hub': {dark: {fromMs: 12_000, toMs: 15_500, every: 100}},
+  'a loss of a third of the hosts after two slow hubs': {
+    slow: {fromMs: 8000, toMs: 14_500},
+    moved: {fromMs: 9000, toMs: 14_000, every: 2},
+    dark: {fromMs: 14_000, toMs: 15_500, every: 3},
+  },
   'failed requests': {
     slow: {fromMs: 8000, toMs: 14_500},
     failing: {fromMs: 8000, toMs: 14_000, part: 0.3},
--- a/packages/gateway/src/backoffs.test.ts
+++ b/packages/gateway/src/backoffs.test.ts
@@ -35,3 +35,20 @@
     ...{excluded: [], isTotal: false, firstMs: 0},
   });
 });
+
+// Guards against a server that gets nothing for the time that it asked for before it lost power (RECOVER).
+test.test('a time ends with the start of the server', () => {
+  const times = new Map([['a@1', NOW_MS + 600_000]]);
+  const clock = {nowMs: () => NOW_MS, monotonicMs: () => NOW_MS};
+  let startedAtMs = 1;
+  const all = new backoffs.Backoffs({
+    ...{clock, statements: {valueOf: start => times.get(start)}},
+    directory: {
+      entry: id => (id === 'a' ? {...ENTRY, startedAtMs} : undefined),
+    },
+  });
+  const north = {allowedRegions: ['north']};
+  assert.equal(all.in(POOL, north).isTotal, true);
+  startedAtMs = 2;
+  assert.deepEqual(all.in(POOL, north).excluded, []);
+});
--- a/packages/gateway/src/coldservers.test.ts
+++ b/packages/gateway/src/coldservers.test.ts
@@ -87,3 +87,16 @@
   const sent = Array.from({length: 5}, () => cold.trySend('a'));
   assert.deepEqual(sent, [true, true, true, false, false]);
 });
+
+// Guards against a server that is paced on and on after a loss of power, whose new entry is not read (RECOVER).
+test.test('a server that was down is warm a warm-up after it returned', () => {
+  const {clock, cold} = site();
+  cold.onList(entry(1, 0));
+  for (let i = 0; i < 10; i++) {
+    cold.onOutcome('a', {kind: 'unreachable'});
+    clock.advance(500);
+  }
+  assert.notEqual(cold.limitPerSOf('a'), undefined);
+  clock.advance(3000 + 1200 - 500);
+  assert.equal(cold.limitPerSOf('a'), undefined);
+});
--- a/packages/routing/src/allowance.test.ts
+++ b/packages/routing/src/allowance.test.ts
@@ -390,3 +390,27 @@
   assert.ok(sides.ask(0, 20_000, 60_000));
   assert.ok(!sides.ask(0, 20_000, 61_000));
 });
+
+// Guards against an account that is refused long after its crowd has left, as two hubs tell each other of a debt that hosts made alone (RECOVER).
+test.test('a debt that two hubs take from each other ends in a window', () => {
+  const hubs = [1, 2].map(() => new allowance.AllowanceLedger(BOUND));
+  const {capacity} = allowance.bucketSize(LIMIT, BOUND);
+  const most = (LIMIT.perS * WINDOW_MS) / MS_PER_S + capacity;
+  const charge = {
+    ...{account: ACCOUNT, tokens: 100, limit: LIMIT, tier: 1, maxWaitMs: 0},
+    ...{isTaken: false, known: undefined},
+  };
+  hubs[0].charge({...charge, tokens: most, isTaken: true, fingerprint: ''}, 0);
+  const levels = [-most, 0];
+  let refusedMs = 0;
+  for (let nowMs = 50; nowMs < 30_000; nowMs += 50) {
+    const at = (nowMs / 50) % 2;
+    const known = {epoch: `${1 - at}`, tokens: levels[1 - at], ageMs: 50};
+    const fingerprint = `f${nowMs}`;
+    const result = hubs[at].charge({...charge, known, fingerprint}, nowMs);
+    levels[at] = result.tokens;
+    if (!result.isGranted) refusedMs = nowMs;
+  }
+  assert.ok(refusedMs > 1000, `refused until ${refusedMs} ms`);
+  assert.ok(refusedMs <= WINDOW_MS, `refused until ${refusedMs} ms`);
+});
