A spent retry budget is back a window after a loss of hosts

Callers saw requests end without a repeat for up to 13.4 s after some hosts had lost power while a service's budget was spent. First sends were not refused.

Cause: what hosts tell each other of the window's use counted as used at the time of the last such message; for 3 s after a start or a gap each message renewed it. It counts as used when that time began now, as nothing that is learned then was used later without being counted itself.

Evidence, the new test before: '1 survivors, dark for 6000 ms: spent for 13400 ms'; after at most 10.5 s (the window and the width of a bucket) in 12 cases.

--- a/packages/routing/src/usage.test.ts
+++ b/packages/routing/src/usage.test.ts
@@ -111,3 +111,42 @@
     );
   },
 );
+
+/** Spends a budget, loses the hub and all hosts but `survivors`, and returns for how long after their return nothing may be used. */
+function spentMs(survivors: number, darkMs: number): number {
+  const create = () => new usage.SharedUsage(WINDOW_MS, 0, () => 0.5);
+  const before = HOSTS.map(create);
+  let hub = new usage.Hub('1', WINDOW_MS);
+  const report = (hosts: readonly usage.SharedUsage[], atMs: number): void => {
+    hosts.forEach((host, i) => hub.onUsage(HOSTS[i], host.report(atMs), atMs));
+    hosts.forEach((host, i) => host.onSums(hub.sumsFor(HOSTS[i], atMs), atMs));
+  };
+  for (let nowMs = 0; nowMs < 2000; nowMs += REPORT_MS) {
+    for (const host of before) host.add(KEY, 5, nowMs);
+    report(before, nowMs);
+  }
+  hub = new usage.Hub('2', WINDOW_MS);
+  const after = before.map((host, i) => (i < survivors ? host : create()));
+  const backMs = 2000 + darkMs;
+  let lastMs = backMs;
+  for (let nowMs = backMs; nowMs < 40_000; nowMs += REPORT_MS) {
+    report(after, nowMs);
+    const limits = {soft: 20, hard: 40};
+    const canUse = after.every(host =>
+      host.fits(KEY, limits, HOSTS.length, nowMs),
+    );
+    if (!canUse) lastMs = nowMs;
+  }
+  return lastMs - backMs;
+}
+
+// Guards against a budget that stays spent for longer than a window after a loss of power, as hosts tell each other of its use (RECOVER).
+test.test('a spent budget is back a window after its hub', () => {
+  for (const survivors of [1, 3]) {
+    for (const darkMs of [0, 1000, 3100, 4000, 6000, 9000]) {
+      const spent = spentMs(survivors, darkMs);
+      const detail = `${survivors} survivors, dark for ${darkMs} ms: spent for ${spent} ms`;
+      assert.ok(spent > 0 && spent <= WINDOW_MS + usage.BUCKET_MS, detail);
+    }
+  }
+});
--- a/packages/routing/src/usage.ts
+++ b/packages/routing/src/usage.ts
@@ -100,7 +100,8 @@
       if (!this.learning.lasts(nowMs)) continue;
       const learned = (this.learned.get(key) ?? 0) + (before ? delta : own);
       this.learned.set(key, learned);
-      this.recent.raise(key, Math.max(recent, learned), nowMs);
+      const {sinceMs} = this.learning;
+      this.recent.raise(key, Math.max(recent, learned), sinceMs, nowMs);
     }
     const amounts = new Map(entries.map(({key, amount}) => [key, amount]));
     this.byHost.set(host, {amounts, atMs: nowMs});
@@ -121,18 +122,23 @@
 /** The time after a start, or after a gap without messages, in which a host or hub takes over what others know of the window. */
 class LearningTime {
   private heardMs = -Infinity;
-  private sinceMs = -Infinity;
+  private begunMs = -Infinity;
+
+  /** When the time began. */
+  get sinceMs(): number {
+    return this.begunMs;
+  }
 
   /** Records a message; true if the time begins with it. */
   onHeard(nowMs: number): boolean {
     const begins = nowMs - this.heardMs > MAX_REPORT_GAP_MS;
-    if (begins) this.sinceMs = nowMs;
+    if (begins) this.begunMs = nowMs;
     this.heardMs = nowMs;
     return begins;
   }
 
   lasts(nowMs: number): boolean {
-    return nowMs - this.sinceMs <= MAX_REPORT_GAP_MS;
+    return nowMs - this.begunMs <= MAX_REPORT_GAP_MS;
   }
 }
 
@@ -148,22 +154,22 @@
 
   constructor(private readonly windowMs: number) {}
 
-  add(key: string, amount: number, nowMs: number): void {
+  add(key: string, amount: number, usedMs: number, nowMs = usedMs): void {
     if (amount === 0) return;
     const buckets = this.liveBuckets(key, nowMs);
-    const atMs = Math.floor(nowMs / BUCKET_MS) * BUCKET_MS;
-    const last = buckets[buckets.length - 1];
-    if (last?.atMs === atMs) {
-      buckets[buckets.length - 1] = {atMs, amount: last.amount + amount};
+    const atMs = Math.floor(usedMs / BUCKET_MS) * BUCKET_MS;
+    const index = buckets.findIndex(bucket => bucket.atMs === atMs);
+    if (index >= 0) {
+      buckets[index] = {atMs, amount: buckets[index].amount + amount};
     } else {
       buckets.push({atMs, amount});
     }
     this.buckets.set(key, buckets);
   }
 
-  /** Adds what is missing for the sum to reach `least`. */
-  raise(key: string, least: number, nowMs: number): void {
-    this.add(key, Math.max(0, least - this.sum(key, nowMs)), nowMs);
+  /** Adds what is missing for the sum to reach `least`, as used at `usedMs`. */
+  raise(key: string, least: number, usedMs: number, nowMs: number): void {
+    this.add(key, Math.max(0, least - this.sum(key, nowMs)), usedMs, nowMs);
   }
 
   sum(key: string, nowMs: number): number {
@@ -239,7 +245,8 @@
         if (delta > 0) this.others.add(key, delta, nowMs);
       }
       if (!this.learning.lasts(nowMs)) continue;
-      this.others.raise(key, recent - this.own.sum(key, nowMs), nowMs);
+      const missing = recent - this.own.sum(key, nowMs);
+      this.others.raise(key, missing, this.learning.sinceMs, nowMs);
     }
     const byKey = new Map(sums.map(sum => [sum.key, sum]));
     this.lastSums = {epoch, byKey};
