--- /dev/null
+++ b/packages/trials/src/relay.test.ts
@@ -0,0 +1,31 @@
+import * as assert from 'node:assert/strict';
+import * as net from 'node:net';
+import * as test from 'node:test';
+
+import * as relays from './relay.js';
+
+// Guards against a loss of power that the other side learns of by a reset.
+test.test('a reset of a silenced connection is not passed on', async () => {
+  const accepted: net.Socket[] = [];
+  const server = net.createServer({pauseOnConnect: true}, socket => {
+    accepted.push(socket);
+  });
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
+  const {port} = server.address() as net.AddressInfo;
+  const relay = await relays.Relay.to(port);
+  const client = net.connect(relay.port, '127.0.0.1');
+  let isEnded = false;
+  client.on('error', () => (isEnded = true));
+  client.on('close', () => (isEnded = true));
+  // More than the buffers hold, so that the relay is still writing.
+  client.write(Buffer.alloc(32_000_000));
+  await new Promise(resolve => setTimeout(resolve, 300));
+  relay.setState('dark');
+  accepted[0].resetAndDestroy();
+  await new Promise(resolve => setTimeout(resolve, 300));
+  const wasEnded = isEnded;
+  client.destroy();
+  relay.close();
+  server.close();
+  assert.equal(wasEnded, false);
+});
--- a/packages/trials/src/relay.ts
+++ b/packages/trials/src/relay.ts
@@ -63,11 +63,12 @@
     readonly port: number,
   ) {}
 
-  /** Starts a relay to a port on loopback. */
-  static to(targetPort: number): Promise<Relay> {
+  /** Starts a relay to a port on loopback, on `ownPort` or on a free one. */
+  static to(targetPort: number, ownPort = 0): Promise<Relay> {
     const server = net.createServer({allowHalfOpen: true});
-    return new Promise(resolve => {
-      server.listen(0, '127.0.0.1', () => {
+    return new Promise((resolve, reject) => {
+      server.once('error', reject);
+      server.listen(ownPort, '127.0.0.1', () => {
         const {port} = server.address() as net.AddressInfo;
         const relay = new Relay(server, port);
         server.on('connection', socket => relay.accept(socket, targetPort));
@@ -147,6 +148,7 @@
       const other = socket === inbound ? outbound : inbound;
       socket.setNoDelay(true);
       socket.on('error', () => {
+        if (this.silenced.has(socket)) return;
         forget();
         reset(other);
       });
