A backend server that looked as leaving is used again

An attempt that is refused as by another server, and a slot of which its host does not list the server, mark the server as leaving at the keeper. That was ended only by load reports of 5 s without a leave. Hosts of the gateway read no load reports, so that the mark lasted as long as the entry or the keeper: entries that come back with the same id after an outage, and a 421 for a predecessor at the same address, kept a server out for good.

The mark now ends by itself 5 s after its last sign. A runner that can't be reached then backs off as others do.

Before, the new test "a runner that an attempt showed as leaving is tried again" failed with `actual [], expected ['t3']`.

--- a/packages/decisions/src/cell.test.ts
+++ b/packages/decisions/src/cell.test.ts
@@ -7,6 +7,7 @@
 import * as cellchecker from './cellchecker.js';
 import type * as events from './cellevents.js';
 import type * as config from './config.js';
+import * as runners from './runner.js';
 import type * as tickets from './ticket.js';
 
 const SEED = 20261204;
@@ -216,6 +217,46 @@
   assert.equal(cell.runners[0].state, 'leaving');
 });
 
+// Guards against a backend server that is never used again since a request met another one at its address.
+test.test('a runner that an attempt showed as leaving is tried again', () => {
+  const outcome = {kind: 'not-admitted', isLeaving: true} as const;
+  let cell = cellWith(server('s1')).apply(ask(ticket('t1')), 0).cell;
+  cell = cell.apply({kind: 'done', ticketId: 't1', outcome}, 0).cell;
+  const holdMs = runners.LEAVING_HOLD_MS;
+  const asked = (id: string) => ask(ticket(id, {deadlineMs: 2 * holdMs}));
+  const early = cell.apply(asked('t2'), holdMs - 1);
+  assert.equal(early.effects[0].kind, 'refuse');
+  const late = early.cell.apply(asked('t3'), holdMs);
+  assert.deepEqual(grants(late), ['t3']);
+  const completed = {kind: 'completed', measured: measuredWith()} as const;
+  const done = {kind: 'done', ticketId: 't3', outcome: completed} as const;
+  const after = late.cell.apply(done, holdMs + 1);
+  assert.equal(after.cell.runners[0].state, 'live');
+});
+
+// Guards against a backend server that left and is tried without a pause from then on.
+test.test('a runner that is unreachable after its leave backs off', () => {
+  const holdMs = runners.LEAVING_HOLD_MS;
+  const leaving = {kind: 'signal', runner: 's1', sign: 'leaving'} as const;
+  const unreachable = {...leaving, sign: 'unreachable'} as const;
+  let cell = cellWith(server('s1')).apply(leaving, 0).cell;
+  cell = cell.apply(unreachable, 1).cell;
+  assert.equal(cell.runners[0].state, 'leaving');
+  cell = cell.apply(unreachable, holdMs).cell;
+  const asked = ask(ticket('t1', {deadlineMs: 2 * holdMs}));
+  assert.deepEqual(grants(cell.apply(asked, holdMs + 1)), []);
+});
+
+// Guards against a runner whose reports of leaving are overridden by the requests that it still completes.
+test.test('a request that completes does not end a leave', () => {
+  let cell = cellWith(server('s1')).apply(ask(ticket('t1')), 0).cell;
+  cell = cell.apply({kind: 'signal', runner: 's1', sign: 'leaving'}, 1).cell;
+  const completed = {kind: 'completed', measured: measuredWith()} as const;
+  const done = {kind: 'done', ticketId: 't1', outcome: completed} as const;
+  cell = cell.apply(done, 2).cell;
+  assert.equal(cell.runners[0].state, 'leaving');
+});
+
 test.test('an unreachable runner is retried after a backoff', () => {
   const outcome = {kind: 'unreachable'} as const;
   let cell = cellWith(server('s1')).apply(ask(ticket('t1')), 0).cell;
--- a/packages/decisions/src/runner.ts
+++ b/packages/decisions/src/runner.ts
@@ -31,8 +31,12 @@
  */
 const MAX_BROKEN_IN_A_ROW = 3;
 
-/** How long a runner stays `leaving` after the last report that it leaves, in milliseconds. */
-const LEAVING_HOLD_MS = 5000;
+/**
+ * How long a runner stays `leaving` after the last sign that it leaves, in
+ * milliseconds. It then takes work again: where load reports are not read, or
+ * none arrives, nothing else would tell that it is back.
+ */
+export const LEAVING_HOLD_MS = 5000;
 
 /** The weight of a new attempt in the failure rate. */
 const FAILURE_SMOOTHING = 0.15;
@@ -81,7 +85,7 @@
   readonly brokenInARow: number;
   /** When a runner that is down accepts a probe. */
   readonly retryAtMs: number;
-  /** When the runner was last reported as leaving. */
+  /** When a report or an attempt last showed the runner as leaving. */
   readonly leavingAtMs: number;
   readonly pace: pace.Pace;
   readonly prefixCache: prefixcache.PrefixCacheEstimate;
@@ -231,7 +235,13 @@
   isAvailable(nowMs: number): boolean {
     const {state, retryAtMs, running} = this.fields;
     if (state === 'live') return true;
-    return state === 'down' && nowMs >= retryAtMs && running === 0;
+    if (state === 'leaving') return !this.isLeavingAt(nowMs);
+    return nowMs >= retryAtMs && running === 0;
+  }
+
+  private isLeavingAt(nowMs: number): boolean {
+    const {state, leavingAtMs} = this.fields;
+    return state === 'leaving' && nowMs - leavingAtMs < LEAVING_HOLD_MS;
   }
 
   /** Returns true if the runner is in a region that the ticket may use, serves its version and accepts requests of its host; one without known versions serves all. */
@@ -458,9 +468,8 @@
    */
   withReportedState(isLeaving: boolean, nowMs: number): Runner {
     if (isLeaving) return this.with({state: 'leaving', leavingAtMs: nowMs});
-    const {state, leavingAtMs} = this.fields;
-    const isExpired = nowMs - leavingAtMs >= LEAVING_HOLD_MS;
-    return state === 'leaving' && isExpired ? this.with({state: 'live'}) : this;
+    const isOver = this.fields.state === 'leaving' && !this.isLeavingAt(nowMs);
+    return isOver ? this.with({state: 'live'}) : this;
   }
 
   /** Replaces the configuration entry and the set of versions. */
@@ -496,7 +505,7 @@
       MAX_BACKOFF_MS[cause],
       FIRST_BACKOFF_MS * 2 ** (consecutiveFailures - 1),
     );
-    const state = this.fields.state === 'leaving' ? 'leaving' : 'down';
+    const state = this.isLeavingAt(nowMs) ? 'leaving' : 'down';
     return this.with({
       state,
       consecutiveFailures,
@@ -554,7 +563,7 @@
     return this.withReportedUse(measured.inUse, nowMs).with({
       slowdown: slowdowns.latest(slowdown, slowdownPercent, atMs),
       progressMs: nowMs,
-      state: this.fields.state === 'leaving' ? 'leaving' : 'live',
+      state: this.isLeavingAt(nowMs) ? 'leaving' : 'live',
       consecutiveFailures: 0,
       brokenInARow: 0,
       completions: this.fields.completions + 1,
