--- a/packages/decisions/src/runner.ts
+++ b/packages/decisions/src/runner.ts
@@ -40,8 +40,12 @@
 /** A completion that is recorded this long after the grant of another attempt shows that the runner was sound after it, in milliseconds. */
 const SOUND_AFTER_MS = 500;
 
-/** How long a runner stays `leaving` after the last report that it leaves, in milliseconds. */
-const LEAVING_HOLD_MS = 5000;
+/**
+ * How long a runner stays `leaving` after the last sign that it leaves, in
+ * milliseconds. It then takes work again: where load reports are not read, or
+ * none arrives, nothing else would tell that it is back.
+ */
+export const LEAVING_HOLD_MS = 5000;
 
 /** The weight of a new attempt in the failure rate. */
 const FAILURE_SMOOTHING = 0.15;
@@ -98,7 +102,7 @@
   readonly retryAtMs: number;
   /** The last ticket that was granted while the runner was down; undefined if it holds no slot any more. */
   readonly probe: Probe | undefined;
-  /** When the runner was last reported as leaving. */
+  /** When a report or an attempt last showed the runner as leaving. */
   readonly leavingAtMs: number;
   readonly pace: pace.Pace;
   readonly prefixCache: prefixcache.PrefixCacheEstimate;
@@ -253,11 +257,14 @@
   isAvailable(nowMs: number): boolean {
     const {state, retryAtMs, probe} = this.fields;
     if (state === 'live') return true;
+    if (state === 'leaving') return !this.isLeavingAt(nowMs);
     const probedMs = probe?.grantedMs ?? -Infinity;
-    return (
-      state === 'down' &&
-      nowMs >= Math.max(retryAtMs, probedMs + PROBE_PATIENCE_MS)
-    );
+    return nowMs >= Math.max(retryAtMs, probedMs + PROBE_PATIENCE_MS);
+  }
+
+  private isLeavingAt(nowMs: number): boolean {
+    const {state, leavingAtMs} = this.fields;
+    return state === 'leaving' && nowMs - leavingAtMs < LEAVING_HOLD_MS;
   }
 
   /** Returns true if the runner is in a region that the ticket may use, serves its version and accepts requests of its host; one without known versions serves all. */
@@ -496,9 +503,8 @@
    */
   withReportedState(isLeaving: boolean, nowMs: number): Runner {
     if (isLeaving) return this.with({state: 'leaving', leavingAtMs: nowMs});
-    const {state, leavingAtMs} = this.fields;
-    const isExpired = nowMs - leavingAtMs >= LEAVING_HOLD_MS;
-    return state === 'leaving' && isExpired ? this.with({state: 'live'}) : this;
+    const isOver = this.fields.state === 'leaving' && !this.isLeavingAt(nowMs);
+    return isOver ? this.with({state: 'live'}) : this;
   }
 
   /** Forgets a pace that was measured long ago, if nothing runs that could be measured. */
@@ -542,7 +548,7 @@
       MAX_BACKOFF_MS[cause],
       FIRST_BACKOFF_MS * 2 ** (consecutiveFailures - 1),
     );
-    const state = this.fields.state === 'leaving' ? 'leaving' : 'down';
+    const state = this.isLeavingAt(nowMs) ? 'leaving' : 'down';
     return this.with({
       state,
       consecutiveFailures,
@@ -600,7 +606,7 @@
     return this.withReportedUse(measured.inUse, nowMs).with({
       slowdown: slowdowns.latest(slowdown, slowdownPercent, atMs),
       progressMs: nowMs,
-      state: this.fields.state === 'leaving' ? 'leaving' : 'live',
+      state: this.isLeavingAt(nowMs) ? 'leaving' : 'live',
       consecutiveFailures: 0,
       brokenInARow: 0,
       completions: this.fields.completions + 1,
