No health checks of brittle servers

Callers saw: servers that state Server-Brittle fell over under requests that take long, though none of the requests was rejected.

Cause: hosts examine a link on which a request gets no data for a second by a health check, which a full server rejects for want of room like any request. Each host sends its own, so many hosts exceed what a brittle server survives.

A brittle server is probed as one without a health path: the probe closes its side, to which a server answers by closing the other.

--- a/packages/gateway/src/host.ts
+++ b/packages/gateway/src/host.ts
@@ -801,10 +801,12 @@
     return keeper === undefined ? [] : [keeper];
   }
 
+  /** Returns the health path of the backend server at an address; none for a brittle one, where a health check takes a slot or counts as rejected. */
   private healthPathOf(address: string): string {
-    const service = this.directory.entryAt(address)?.service ?? '';
-    const {configuration} = this.directory;
-    return configuration?.service(service)?.healthPath ?? '';
+    const {directory} = this;
+    const entry = directory.entryAt(address);
+    if (!entry || this.serverStatements.isBrittle(entry.id)) return '';
+    return directory.configuration?.service(entry.service)?.healthPath ?? '';
   }
 
   /** Logs a change of this host's link to a backend server, and closes idle connections of the way that is not used any more. */
