Model of brittle servers: hosts frozen or cut, restarts, full queues

The model of load can freeze hosts, cut their links to all servers, restart servers and give servers fewer slots than listed.

--- a/packages/fleet/src/brittle.test.ts
+++ b/packages/fleet/src/brittle.test.ts
@@ -5,30 +5,50 @@
 
 import * as loadmodels from './loadmodel.js';
 
-const SEEDS = [1, 2];
+const SEEDS = [1, 2, 3];
 const SERVERS = 4;
 const SLOTS = 6;
 /** The rule of a period: two failures and one for each ten servers. */
 const MAX_FAILURES = 2 + SERVERS / 10;
 const BRITTLE_FROM_MS = 2000;
+/** The load as a part of what servers can do. */
+const LOAD = 1.075;
+/** A fleet in which news reach hosts by way of others. */
+const LARGE = {hosts: 12, servers: 8, maxRejections: 1, workMs: 200};
+
+/** How a scene differs from three hosts, four servers that are full, and short requests. */
+interface Scene extends Partial<
+  Omit<loadmodels.LoadModelOptions, 'stateOf' | 'requestsPerS'>
+> {
+  /** The rejections a second that a server survives. */
+  readonly maxRejections?: number;
+  readonly isStated?: boolean;
+  /** When no request may wait any more; as soon as servers are brittle by default. */
+  readonly strictFromMs?: number;
+  readonly foreignAt?: (nowMs: number) => number;
+}
 
 /** Runs a model whose servers are full, and brittle from a time on. */
 async function withModel(
-  seed: number,
-  foreignAt: (nowMs: number) => number,
-  isStated: boolean,
+  scene: Scene,
   check: (model: loadmodels.LoadModel) => Promise<void>,
 ): Promise<void> {
   const {timers} = test.mock;
   timers.enable({apis: ['setInterval']});
+  const {maxRejections = 3, isStated = true, foreignAt = () => 0} = scene;
+  const {strictFromMs = BRITTLE_FROM_MS} = scene;
+  const {servers = SERVERS, slots = SLOTS, workMs = 60} = scene;
   const options = {
-    ...{seed, hosts: 3, servers: SERVERS, slots: SLOTS, workMs: 60},
-    requestsPerS: 430,
-    stateOf: (_: number, nowMs: number) => ({
-      ...{slowdown: 1, foreign: foreignAt(nowMs)},
-      brittle: nowMs >= BRITTLE_FROM_MS && isStated ? 3 : undefined,
-      maxWaiting: nowMs >= BRITTLE_FROM_MS ? 0 : 20,
-    }),
+    ...{seed: 1, hosts: 3, ...scene, servers, slots, workMs},
+    requestsPerS: (LOAD * servers * slots * 1000) / workMs,
+    stateOf: (_: number, nowMs: number) => {
+      const isBrittle = nowMs >= BRITTLE_FROM_MS && isStated;
+      return {
+        ...{slowdown: 1, foreign: foreignAt(nowMs)},
+        brittle: isBrittle ? maxRejections : undefined,
+        maxWaiting: nowMs >= strictFromMs ? 0 : 20,
+      };
+    },
   };
   const model = new loadmodels.LoadModel(options, timers);
   try {
@@ -39,6 +59,23 @@
   }
 }
 
+/** Plays a scene with some seeds and checks that servers fail no more often than the rule allows, and that requests are served. */
+async function checkFailures(
+  scene: Scene,
+  script: (model: loadmodels.LoadModel) => Promise<void>,
+): Promise<void> {
+  const {servers = SERVERS} = scene;
+  for (const seed of SEEDS) {
+    await withModel({...scene, seed}, async model => {
+      await script(model);
+      const failures = sum(model, 'failures');
+      const text = `seed ${seed}: ${failures}, ${sum(model, 'rejected')} rejected`;
+      assert.ok(failures <= 2 + servers / 10, text);
+      assert.ok(model.tookMs.length * 4 > model.requests, text);
+    });
+  }
+}
+
 function sum(model: loadmodels.LoadModel, key: 'failures' | 'rejected') {
   return model.servers.reduce((total, server) => total + server[key], 0);
 }
@@ -48,20 +85,15 @@
   'brittle servers keep running when their keeper is killed',
   async () => {
     for (const seed of SEEDS) {
-      await withModel(
-        seed,
-        () => 0,
-        true,
-        async model => {
-          await model.run(4000);
-          model.kill(model.keeper, 1500);
-          const before = model.tookMs.length;
-          await model.run(5000);
-          const failures = sum(model, 'failures');
-          assert.ok(failures <= MAX_FAILURES, `seed ${seed}: ${failures}`);
-          assert.ok(model.tookMs.length - before > 500);
-        },
-      );
+      await withModel({seed}, async model => {
+        await model.run(4000);
+        model.kill(model.keeper, 1500);
+        const before = model.tookMs.length;
+        await model.run(5000);
+        const failures = sum(model, 'failures');
+        assert.ok(failures <= MAX_FAILURES, `seed ${seed}: ${failures}`);
+        assert.ok(model.tookMs.length - before > 500);
+      });
     }
   },
 );
@@ -73,7 +105,7 @@
     const foreignAt = (nowMs: number) => (nowMs >= 3000 ? 3 : 0);
     const rejected: number[] = [];
     for (const isStated of [false, true]) {
-      await withModel(5, foreignAt, isStated, async model => {
+      await withModel({seed: 5, foreignAt, isStated}, async model => {
         await model.run(5000);
         const before = sum(model, 'rejected');
         await model.run(4000);
@@ -84,3 +116,36 @@
     assert.ok(stated * 4 <= unstated, `${stated} against ${unstated}`);
   },
 );
+
+// Guards against queues at servers that are still full when brittleness begins.
+test.test('servers that become brittle with full queues', () =>
+  checkFailures(
+    {
+      ...{maxRejections: 1, workMs: 120},
+      strictFromMs: BRITTLE_FROM_MS + 3000,
+      foreignAt: nowMs => (nowMs >= 1000 && nowMs < 3000 ? 4 : 0),
+    },
+    model => model.run(9000),
+  ),
+);
+
+// Guards against statements that reach the keeper late in a fleet where news pass through other hosts.
+test.test('brittle servers of many hosts, the keeper killed', () =>
+  checkFailures(LARGE, async model => {
+    await model.run(4000);
+    model.kill(model.keeper, 1500);
+    await model.run(4000);
+  }),
+);
+
+// Guards against servers that get all their slots filled at once when they are back.
+test.test('servers that restart and are brittle at once', () =>
+  checkFailures({maxRejections: 1, servers: 6, workMs: 200}, async model => {
+    await model.run(4000);
+    for (const server of model.servers) {
+      model.restart(server);
+      await model.run(700);
+    }
+    await model.run(5000);
+  }),
+);
--- a/packages/fleet/src/loadmodel.ts
+++ b/packages/fleet/src/loadmodel.ts
@@ -17,6 +17,10 @@
 /** How long a server that has failed is down. */
 const DOWN_MS = 2000;
 const TOKENS = 10;
+/** How long a host whose links to the servers are cut sends on them, before it borrows those of others. */
+const CUT_FOUND_MS = 600;
+/** How long after its start the hosts read a server's entry. */
+const MAX_ENTRY_DELAY_MS = 1000;
 
 /** The state of a model server at one time. */
 export interface ServerState {
@@ -30,6 +34,8 @@
   readonly maxWaiting: number;
   /** Requests of others that run there. */
   readonly foreign: number;
+  /** The slots that it has; undefined if they are those that the list says. */
+  readonly slots?: number;
 }
 
 /** The parameters of a model. */
@@ -40,6 +46,8 @@
   readonly slots: number;
   readonly workMs: number;
   readonly requestsPerS: number;
+  /** The time that requests have; `DEADLINE_MS` by default. */
+  readonly deadlineMs?: number;
   readonly stateOf: (server: number, nowMs: number) => ServerState;
 }
 
@@ -62,29 +70,30 @@
 
   constructor(
     readonly name: string,
-    private readonly slots: number,
+    private readonly listedSlots: number,
     readonly stateAt: (nowMs: number) => ServerState,
   ) {}
 
   accept(work: Work, nowMs: number): void {
-    const {slowdown, foreign, maxWaiting} = this.stateAt(nowMs);
+    const {slowdown, foreign, maxWaiting, slots} = this.stateAt(nowMs);
     if (nowMs < this.downUntilMs) return work.onEnd('crashed');
     this.received++;
     if (slowdown > 1) this.receivedWhileSlow++;
-    if (this.running.length + foreign < this.slots) this.running.push(work);
+    const isFree = this.running.length + foreign < (slots ?? this.listedSlots);
+    if (isFree) this.running.push(work);
     else if (this.waiting.length < maxWaiting) this.waiting.push(work);
     else this.reject(work, nowMs);
   }
 
   step(nowMs: number): void {
-    const {slowdown, foreign} = this.stateAt(nowMs);
+    const {slowdown, foreign, slots = this.listedSlots} = this.stateAt(nowMs);
     for (const work of [...this.running]) {
       work.leftMs -= STEP_MS / slowdown;
       if (work.leftMs > 0) continue;
       this.running.splice(this.running.indexOf(work), 1);
       work.onEnd('completed');
     }
-    while (this.running.length + foreign < this.slots) {
+    while (this.running.length + foreign < slots) {
       const next = this.waiting.shift();
       if (!next) return;
       this.running.push(next);
@@ -100,9 +109,14 @@
     const {brittle = Infinity} = this.stateAt(nowMs);
     if (recent.length <= brittle) return;
     this.failures++;
+    this.restart(nowMs + DOWN_MS);
+  }
+
+  /** Ends what runs there; the server is back at a time. */
+  restart(backMs: number): void {
     this.start++;
     this.rejectedAtMs = [];
-    this.downUntilMs = nowMs + DOWN_MS;
+    this.downUntilMs = backMs;
     const lost = [...this.running.splice(0), ...this.waiting.splice(0)];
     for (const each of lost) each.onEnd('crashed');
   }
@@ -115,6 +129,11 @@
   readonly statements: statementsModule.Statements;
   view: readonly decisions.membership.Member[];
   isAlive: boolean;
+  /** What arrives while the host is frozen; undefined while it is not. */
+  held: (() => void)[] | undefined;
+  /** The requests that it has sent over links of its own, by ticket. */
+  readonly sent: Set<string>;
+  links: 'sound' | 'cut' | 'found-cut';
 }
 
 /** Hosts, servers and callers on a simulated clock; `timers` are the mocked intervals of hosts. */
@@ -173,7 +192,7 @@
     const endMs = this.nowMs + ms;
     const perStep = (this.options.requestsPerS * STEP_MS) / 1000;
     while (this.nowMs < endMs) {
-      const alive = this.hosts.filter(host => host.isAlive);
+      const alive = this.hosts.filter(host => host.isAlive && !host.held);
       const count = Math.floor(perStep) + Number(this.random() < perStep % 1);
       for (let i = 0; i < count; i++) {
         this.request(alive[Math.floor(this.random() * alive.length)]);
@@ -194,19 +213,73 @@
     if (!lost) return;
     lost.isAlive = false;
     this.stopHost(lost);
-    this.later(noticedMs, () => {
-      for (const host of this.hosts) {
-        host.view = host.view.filter(each => each.host !== name);
-        host.keeper.onHostGone(name);
-        if (host.isAlive) host.slots.onMembers();
+    this.later(noticedMs, () => this.setGone(name));
+  }
+
+  /** Freezes a host for `forMs`; the others take it for lost after `noticedMs`, if that is sooner. */
+  freeze(name: string, forMs: number, noticedMs: number): void {
+    const frozen = this.hosts.find(host => host.name === name);
+    if (!frozen) return;
+    const held: (() => void)[] = [];
+    frozen.held = held;
+    this.stopHost(frozen);
+    if (noticedMs < forMs) this.later(noticedMs, () => this.setGone(name));
+    this.later(forMs, () => {
+      frozen.held = undefined;
+      for (const run of held) run();
+      this.start(frozen);
+      if (noticedMs < forMs) this.setBack(name);
+    });
+  }
+
+  /** Cuts the links of a host to all servers for `forMs`: nothing passes, and neither side is told. */
+  cut(name: string, forMs: number): void {
+    const host = this.hosts.find(each => each.name === name);
+    if (!host) return;
+    host.links = 'cut';
+    this.later(CUT_FOUND_MS, () => {
+      host.links = 'found-cut';
+      for (const ticketId of host.sent) {
+        host.slots.done(ticketId, {kind: 'cancelled'});
       }
+      host.sent.clear();
+    });
+    this.later(forMs, () => {
+      host.links = 'sound';
     });
   }
 
+  /** Restarts a server; hosts learn of its new start from its entry or its answers. */
+  restart(server: ModelServer): void {
+    server.restart(this.nowMs + DOWN_MS);
+    for (const {keeper} of this.hosts) {
+      this.later(DOWN_MS + MAX_ENTRY_DELAY_MS * this.random(), () =>
+        keeper.onLimit(server.name),
+      );
+    }
+  }
+
   stop(): void {
     for (const host of this.hosts) this.stopHost(host);
   }
 
+  private setGone(name: string): void {
+    for (const host of this.hosts) {
+      if (host.name === name) continue;
+      host.view = host.view.filter(each => each.host !== name);
+      host.keeper.onHostGone(name);
+      if (host.isAlive) host.slots.onMembers();
+    }
+  }
+
+  private setBack(name: string): void {
+    for (const host of this.hosts) {
+      if (host.name === name) continue;
+      host.view = [...host.view, member(name)];
+      if (host.isAlive) host.slots.onMembers();
+    }
+  }
+
   private later(ms: number, run: () => void): void {
     this.events.push({atMs: this.nowMs + ms, run});
   }
@@ -218,7 +291,10 @@
     this.linkFreeMs.set(link, from === to ? this.nowMs : atMs);
     const run = () => {
       const host = this.hosts.find(each => each.name === to);
-      if (host?.isAlive) receive(host, from, item);
+      if (!host?.isAlive) return;
+      const deliver = () => receive(host, from, item);
+      if (host.held) host.held.push(deliver);
+      else deliver();
     };
     this.events.push({atMs: from === to ? this.nowMs : atMs, run});
   }
@@ -264,6 +340,7 @@
     });
     const host: ModelHost = {
       ...{name, keeper, slots, statements, view, isAlive: true},
+      ...{held: undefined, sent: new Set<string>(), links: 'sound'},
     };
     return host;
   }
@@ -280,9 +357,10 @@
   private request(host: ModelHost): void {
     const requestId = `r${++this.requests}`;
     const beganMs = this.nowMs;
+    const {deadlineMs = DEADLINE_MS} = this.options;
     const slotRequest: slotsModule.SlotRequest = {
       ...{requestId, service: this.service, tier: 2, account: ACCOUNT},
-      ...{deadlineMs: beganMs + DEADLINE_MS, promptTokens: 0, chain: []},
+      ...{deadlineMs: beganMs + deadlineMs, promptTokens: 0, chain: []},
       ...{outputTokens: TOKENS, version: '', isSuspect: false},
     };
     void host.slots.acquire(slotRequest, new AbortController().signal).then(
@@ -303,11 +381,15 @@
     const sentMs = this.nowMs;
     const start = `${name}@${server.start}`;
     const revisions = host.statements.revisionsOf(start);
+    const isCarried = host.links === 'found-cut';
+    const carriedMs = () => (isCarried ? 1 + 3 * this.random() : 0);
+    if (!isCarried) host.sent.add(ticketId);
     const onEnd: Work['onEnd'] = kind => {
       const {slowdownPercent, brittle, foreign} = server.stateAt(this.nowMs);
       const inUse = server.running.length + server.waiting.length + foreign + 1;
-      this.later(1 + 2 * this.random(), () => {
+      const onAnswer = () => {
         if (!host.isAlive) return;
+        if (!isCarried && !host.sent.delete(ticketId)) return;
         if (kind !== 'crashed') {
           host.statements.onAnswer('r', start, revisions, {brittle});
         }
@@ -323,11 +405,17 @@
           ...{durationMs, inUse, slowdownPercent},
         };
         host.slots.done(ticketId, {kind, measured});
+      };
+      this.later(1 + 2 * this.random() + carriedMs(), () => {
+        if (!isCarried && host.links !== 'sound') return;
+        if (host.held) host.held.push(onAnswer);
+        else onAnswer();
       });
     };
-    this.later(1 + 2 * this.random(), () =>
-      server.accept({leftMs: this.options.workMs, onEnd}, this.nowMs),
-    );
+    this.later(1 + 2 * this.random() + carriedMs(), () => {
+      if (!isCarried && host.links !== 'sound') return;
+      server.accept({leftMs: this.options.workMs, onEnd}, this.nowMs);
+    });
   }
 }
 
