Requests that hang on cut links count at brittle servers

Callers saw: while hosts were cut off from servers that state Server-Brittle, the servers fell over, and requests of sound hosts failed with them.

Cause: a host that finds its link cut gives the slots of what hangs there back at once, so that others may use them. The server is not told and goes on, so it has one request too many for each, and rejects it. The same holds for slots of a host that is lost without its connections being closed.

A brittle runner counts such a request until twice its expected time or its deadline. Others are used as before.

--- a/packages/decisions/src/cell.ts
+++ b/packages/decisions/src/cell.ts
@@ -298,9 +298,11 @@
         recentUsage,
       });
     const wasAnswered = outcome.kind === 'completed';
-    const freed = runner
+    const released = runner
       .release(grant.ticket, wasAnswered, nowMs)
       .recordOutcome(outcome, nowMs);
+    const mayRunOn = outcome.kind === 'cancelled' && outcome.mayRunOn === true;
+    const freed = mayRunOn ? released.linger(grant, nowMs) : released;
     const next = new Map(this.fields.runners).set(freed.name, freed);
     return this.withFields({
       running,
@@ -458,8 +460,9 @@
       const releaseByMs = grant.ticket.deadlineMs + RELEASE_GRACE_MS;
       return nowMs >= Math.min(orphanUntilMs, releaseByMs);
     });
+    const lost = {kind: 'cancelled', mayRunOn: true} as const;
     let cell = overdue.reduce<Cell>(
-      (c, grant) => c.release(grant.ticket.id, {kind: 'cancelled'}, nowMs),
+      (c, grant) => c.release(grant.ticket.id, lost, nowMs),
       this,
     );
     const effects: events.CellEffect[] = [];
--- a/packages/decisions/src/runner.ts
+++ b/packages/decisions/src/runner.ts
@@ -39,19 +39,23 @@
 
 /**
  * The result of an attempt. A `not-admitted` attempt was refused by the backend
- * server, and a `silent` one got no answer in time. A `failed` attempt ended
+ * server, and a `silent` one got no answer in time. A `cancelled` one `mayRunOn`
+ * if the backend server may not learn that it was given up. A `failed` attempt ended
  * with an error, which `isBroken` if the connection broke off instead of
  * bringing an answer, while a `crashed` one shows that the backend server is gone.
  */
 export type Outcome =
   | {readonly kind: 'completed'; readonly measured: pace.Measurement}
-  | {readonly kind: 'cancelled'}
+  | {readonly kind: 'cancelled'; readonly mayRunOn?: boolean}
   | {readonly kind: 'not-admitted'; readonly isLeaving: boolean}
   | {readonly kind: 'unreachable'}
   | {readonly kind: 'crashed'}
   | {readonly kind: 'silent'}
   | {readonly kind: 'failed'; readonly isBroken?: boolean};
 
+/** How long a request that may run on counts as running, as a multiple of its expected time. */
+const LINGER_FACTOR = 2;
+
 /** The time over which a reported number of foreign requests (those not granted by this cell) decays linearly to zero, in milliseconds. */
 const FOREIGN_DECAY_MS = 1500;
 
@@ -103,6 +107,8 @@
   readonly startRate: startrates.StartRate | undefined;
   /** The part of the slots that may be used of a runner that states that it is brittle; undefined if it does not. */
   readonly brittlePart: number | undefined;
+  /** Until when requests that were given up may still run there, on the monotonic clock. */
+  readonly lingeringUntilMs: readonly number[];
   /** The attempts completed since the runner was created or last went down. */
   readonly completions: number;
   /** How much slower than usual the runner works, as it last reported. */
@@ -165,6 +171,7 @@
       failureRate: 0,
       startRate: undefined,
       ...{brittlePart: undefined, completions: 0, slowdown: undefined},
+      lingeringUntilMs: [],
       ...{progressMs: -Infinity, expectedRunningMs: 0},
     });
   }
@@ -272,7 +279,8 @@
 
   /**
    * Returns true unless the runner is brittle and one more request might have to
-   * wait there. Others' requests count in full while their report is recent.
+   * wait there. Others' requests count in full while their report is recent, as do
+   * those that were given up and may run on.
    * A runner that was down or is new to its keeper starts with one request, and
    * each one that completes makes room for one more at a time.
    */
@@ -283,7 +291,12 @@
     const isRecent = nowMs - foreignReportedAtMs < FOREIGN_DECAY_MS;
     const slots = Math.max(1, Math.floor(server.maxRunning * brittlePart));
     const room = Math.min(slots, completions + 1);
-    return running + (isRecent ? foreignRunning : 0) < room;
+    const lingering = this.lingeringAt(nowMs).length;
+    return running + lingering + (isRecent ? foreignRunning : 0) < room;
+  }
+
+  private lingeringAt(nowMs: number): readonly number[] {
+    return this.fields.lingeringUntilMs.filter(untilMs => nowMs < untilMs);
   }
 
   /** Returns true if the runner's limit allows a start at `nowMs`. */
@@ -411,6 +424,14 @@
     });
   }
 
+  /** Records that a request which has given its slot back may still run there, as if it took twice the expected time. */
+  linger({ticket, grantedMs}: tickets.Grant, nowMs: number): Runner {
+    const endMs = grantedMs + LINGER_FACTOR * this.expectedMs(ticket);
+    const untilMs = Math.min(endMs, ticket.deadlineMs);
+    const lingeringUntilMs = [...this.lingeringAt(nowMs), untilMs];
+    return this.with({lingeringUntilMs});
+  }
+
   /** Sets or lifts the limit that the runner states. */
   withLimit(limitPerS: number | undefined, nowMs: number): Runner {
     if (limitPerS === this.limitPerS) return this;
--- a/packages/fleet/src/brittle.test.ts
+++ b/packages/fleet/src/brittle.test.ts
@@ -149,3 +149,28 @@
     await model.run(5000);
   }),
 );
+
+// Guards against slots of requests that hang on cut links, given to others while the servers still work on these.
+test.test('brittle servers while half of the hosts are cut', () =>
+  checkFailures(
+    {hosts: 12, servers: 8, slots: 8, workMs: 2000, deadlineMs: 6000},
+    async model => {
+      await model.run(12_000);
+      for (const {name} of model.hosts.slice(6)) model.cut(name, 4000);
+      await model.run(8000);
+    },
+  ),
+);
+
+// Guards against the same where the keeper is one of the hosts, and the servers survive fewer rejections.
+test.test('brittle servers while the keeper is cut', () =>
+  checkFailures(
+    {hosts: 4, maxRejections: 1, workMs: 2000, deadlineMs: 6000},
+    async model => {
+      await model.run(14_000);
+      const cut = new Set([model.keeper, 'h0', 'h1']);
+      for (const name of cut) model.cut(name, 4000);
+      await model.run(8000);
+    },
+  ),
+);
--- a/packages/fleet/src/keeper.ts
+++ b/packages/fleet/src/keeper.ts
@@ -364,5 +364,6 @@
   }
   if (kind === 'not-admitted') return {kind, isLeaving: done.isLeaving};
   if (kind === 'failed') return {kind, isBroken: done.isBroken};
+  if (kind === 'cancelled') return {kind, mayRunOn: done.mayRunOn};
   return {kind};
 }
--- a/packages/fleet/src/loadmodel.ts
+++ b/packages/fleet/src/loadmodel.ts
@@ -240,7 +240,7 @@
     this.later(CUT_FOUND_MS, () => {
       host.links = 'found-cut';
       for (const ticketId of host.sent) {
-        host.slots.done(ticketId, {kind: 'cancelled'});
+        host.slots.done(ticketId, {kind: 'cancelled', mayRunOn: true});
       }
       host.sent.clear();
     });
--- a/packages/fleet/src/slots.ts
+++ b/packages/fleet/src/slots.ts
@@ -240,6 +240,7 @@
         outcome: outcome.kind,
         isLeaving: outcome.kind === 'not-admitted' && outcome.isLeaving,
         isBroken: outcome.kind === 'failed' && outcome.isBroken === true,
+        mayRunOn: outcome.kind === 'cancelled' && outcome.mayRunOn === true,
         prefillTokens: Math.round(measured.prefillTokens),
         outputTokens: Math.round(measured.outputTokens),
         firstTokenMs: Math.round(measured.firstTokenMs),
--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -154,6 +154,8 @@
 
 /** The outcome of a slot that was not used. */
 const CANCELLED: decisions.runner.Outcome = {kind: 'cancelled'};
+/** The outcome of an attempt that hangs on a link that is cut. */
+const CUT_OFF: decisions.runner.Outcome = {kind: 'cancelled', mayRunOn: true};
 /** The outcome of a slot whose backend server left or was evacuated before the send. */
 const GONE: decisions.runner.Outcome = {kind: 'not-admitted', isLeaving: true};
 
@@ -414,7 +416,7 @@
     signal: AbortSignal,
     onConnected?: () => void,
   ): Promise<forwarding.upstream.AttemptResult> {
-    const {cold, dialect, upstream, log} = this.options;
+    const {cold, dialect, upstream, slots, log} = this.options;
     const {received, route} = accepted;
     const {names} = dialect;
     const {entry, grant} = attempt;
@@ -455,7 +457,7 @@
           onConnected?.();
         },
         // What hangs on a link that is cut must not keep the slot from others.
-        onCut: () => this.release(attempt),
+        onCut: () => slots.done(grant.ticketId, CUT_OFF),
       },
       AbortSignal.any([signal, attempt.cut.signal]),
     );
