A keeper that may have been replaced fills brittle servers gently

Callers saw: after a freeze of the host that keeps a cell, brittle servers of the cell fell over.

Cause: another host keeps the cell meanwhile and fills the servers. The frozen one goes on with the cell that it remembers: it frees slots as hosts report to it, one after another, and grants them before it knows all that runs there.

A new keeper starts each brittle runner with one request at a time. The same holds now for a keeper whose process was paused for a second, before what arrived meanwhile is handled, and for one that gets a report of grants that it has not made. Nothing changes for servers that are not brittle.

--- a/packages/decisions/src/cell.ts
+++ b/packages/decisions/src/cell.ts
@@ -312,13 +312,15 @@
     });
   }
 
-  /** Adds the grants that a host reports and releases the host's other slots. */
+  /** Adds the grants that a host reports and releases the host's other slots. Grants of another keeper show that more of them may be unknown. */
   reconcile(
     host: string,
     reported: readonly tickets.Grant[],
     nowMs: number,
   ): Cell {
     const ids = new Set(reported.map(grant => grant.ticket.id));
+    const {running} = this.fields;
+    const wasReplaced = reported.some(({ticket}) => !running.has(ticket.id));
     const lost = this.running.filter(
       grant => grant.ticket.host === host && !ids.has(grant.ticket.id),
     );
@@ -327,9 +329,21 @@
         cell.release(grant.ticket.id, {kind: 'cancelled'}, nowMs),
       this,
     );
-    return reported
+    const adopted = reported
       .reduce((cell, grant) => cell.addGrant(grant), freed)
       .markReported(host);
+    return wasReplaced ? adopted.withUnknownUse() : adopted;
+  }
+
+  /** Treats the runners as those of a new keeper, which does not know what runs there. */
+  withUnknownUse(): Cell {
+    return this.withFields({
+      runners: new Map(
+        [...this.fields.runners].map(([name, runner]) => [
+          ...([name, runner.withUnknownUse()] as const),
+        ]),
+      ),
+    });
   }
 
   /** Adds a new grant, or one that a host reports; ignored if the ticket runs already or the runner is unknown. */
@@ -670,6 +684,7 @@
     cell: cell.release(event.ticketId, event.outcome, nowMs),
     effects: [],
   }),
+  'use-unknown': cell => ({cell: cell.withUnknownUse(), effects: []}),
   recover: (cell, event, nowMs) => ({
     cell: cell.reconcile(event.host, event.running, nowMs),
     effects: [],
--- a/packages/decisions/src/cellevents.ts
+++ b/packages/decisions/src/cellevents.ts
@@ -49,6 +49,8 @@
       readonly runner: string;
       readonly limitPerS: number | undefined;
     }
+  /** The keeper may have been replaced for a time without noticing, as after a pause of its process. */
+  | {readonly kind: 'use-unknown'}
   /** A backend server states that it is brittle, or does not any more (undefined); `part` of its slots may be used. */
   | {
       readonly kind: 'brittle';
--- a/packages/decisions/src/runner.ts
+++ b/packages/decisions/src/runner.ts
@@ -450,6 +450,11 @@
     return isSame ? this : this.with({brittlePart});
   }
 
+  /** Makes the runner, should it be brittle, start with one request again, as its keeper may not know of all that run there. */
+  withUnknownUse(): Runner {
+    return this.fields.completions === 0 ? this : this.with({completions: 0});
+  }
+
   /** Counts a start at `nowMs` against the runner's limit. */
   countStart(nowMs: number): Runner {
     const {startRate} = this.fields;
--- a/packages/fleet/src/brittle.test.ts
+++ b/packages/fleet/src/brittle.test.ts
@@ -174,3 +174,12 @@
     },
   ),
 );
+
+// Guards against two keepers that each fill a brittle server.
+test.test('brittle servers of many hosts, the keeper frozen', () =>
+  checkFailures(LARGE, async model => {
+    await model.run(4000);
+    model.freeze(model.keeper, 3000, 1500);
+    await model.run(6000);
+  }),
+);
--- a/packages/fleet/src/keeper.ts
+++ b/packages/fleet/src/keeper.ts
@@ -12,6 +12,9 @@
 /** How long this host still schedules a cell after another host has become its keeper; longer while tickets wait. */
 const UNOWNED_TTL_MS = 5000;
 
+/** After a pause of this process of this length, another host may have become the keeper meanwhile. */
+const REPLACED_AFTER_MS = 1000;
+
 type Cell = decisions.cell.Cell;
 
 interface KeptCell {
@@ -54,6 +57,8 @@
 export class Keeper {
   private readonly cells = new Map<string, KeptCell>();
   private readonly timers: NodeJS.Timeout[] = [];
+  /** When an event was last applied or a tick came. */
+  private activeMs: number;
   /** The backend servers that the platform's server list last showed as leaving. */
   private leavingServers: ReadonlySet<string> = new Set();
 
@@ -73,10 +78,13 @@
       }),
   };
 
-  constructor(private readonly options: KeeperOptions) {}
+  constructor(private readonly options: KeeperOptions) {
+    this.activeMs = options.clock.monotonicMs();
+  }
 
   /** Starts the timers for cell deadlines and load polling. */
   start(): void {
+    this.noticePause();
     this.timers.push(setInterval(() => this.tick(), TICK_INTERVAL_MS));
     if (!this.options.backends) return;
     this.timers.push(
@@ -182,6 +190,7 @@
   }
 
   private apply(name: string, event: decisions.cellevents.CellEvent): void {
+    this.noticePause();
     const kept = this.keptCell(name);
     if (!kept) return this.refuseWithoutServers(name, event);
     const nowMs = this.options.clock.monotonicMs();
@@ -279,7 +288,19 @@
     };
   }
 
+  /** Is cautious after a pause of this process, and before anything that arrived meanwhile is handled. */
+  private noticePause(): void {
+    const nowMs = this.options.clock.monotonicMs();
+    const pausedMs = nowMs - this.activeMs;
+    this.activeMs = nowMs;
+    if (pausedMs < REPLACED_AFTER_MS) return;
+    for (const name of this.cells.keys()) {
+      this.apply(name, {kind: 'use-unknown'});
+    }
+  }
+
   private tick(): void {
+    this.noticePause();
     const nowMs = this.options.clock.monotonicMs();
     const members = this.options.serving();
     this.keepAssignedCells(members);
