The latest start at an address takes it over

Cause: the entry of a server that is gone stays until it expires, also when the next one at its address is listed. Each request sent to it is refused and needs a retry, which counts against the retry budget. The refused requests end with the reason no-repeat-left after one attempt: the budget is used up. Waiting for it would not help them, since what was used leaves it after the whole window, longer than callers wait; a caller that returns is a new request.

Fix: the refusals need not arise. Of several starts at one address only the latest is in the pools; entries of unknown services, as of other writers, don't count. A start in whose place another one has answered is not used again when its entry is listed once more, and is dropped at once also shortly after an outage of the store; if it is the last of its service, after the usual while. It is dropped as a start: a refusal that arrives late dropped the entry of a server that had started again with the same id until then. Other hosts connect for cut ones to the latest start too.

--- a/packages/gateway/src/directory.test.ts
+++ b/packages/gateway/src/directory.test.ts
@@ -2,6 +2,7 @@
 import * as test from 'node:test';
 
 import * as decisions from '@banyanhall/decisions';
+import * as routing from '@banyanhall/routing';
 
 import * as directories from './directory.js';
 import * as logs from './logs.js';
@@ -266,3 +267,93 @@
   directory.onServerEntry('a', entry('a'));
   assert.deepEqual([...names(directory)].sort(), ['a', 'b']);
 });
+
+/** Puts a configuration in force that has these services. */
+function configure(
+  directory: directories.Directory,
+  ...services: readonly string[]
+): void {
+  const fields: routing.configuration.ConfigurationFields = {
+    ...{version: 1, routes: [], accounts: [], needsKeys: false},
+    services: services.map(name => ({
+      ...{name, healthPath: '', maxConnections: 1},
+      ...{capacity: 1, memoryTokens: 0},
+    })),
+    limits: {
+      ...{maxHeaderBytes: 1, maxBodyBytes: 1},
+      ...{headerTimeoutMs: 1, idleTimeoutMs: 1},
+    },
+  };
+  const next = new routing.configuration.Configuration(fields);
+  directory.onConfiguration(next, 'test');
+}
+
+// Guards against requests to a server whose address belongs to another one by now, which refuses them.
+for (const service of ['s', 'other']) {
+  test.test(`a later start in ${service} takes its address over`, () => {
+    const before = entry('a', {startedAtMs: 5});
+    const after = entry('b', {startedAtMs: 6, service});
+    const elsewhere = entry('c', {startedAtMs: 4, address: '10.0.0.2:80'});
+    const directory = directoryWith(after, before, elsewhere);
+    configure(directory, 's', 'other');
+    const used = service === 's' ? ['b', 'c'] : ['c'];
+    assert.deepEqual(names(directory), used);
+    assert.equal(directory.entry('a'), undefined);
+    assert.equal(directory.entryAt(before.address), after);
+    directory.onServerEntry('b', {...after, isDraining: true});
+    assert.deepEqual(names(directory), ['a', 'c']);
+  });
+}
+
+// Guards against a sound server that is not used, as an entry of another writer has its address.
+test.test('an entry of an unknown service takes no address over', () => {
+  const odd = entry('b', {startedAtMs: 6, service: 'unknown'});
+  const sound = entry('a', {startedAtMs: 5});
+  const directory = directoryWith(odd, sound);
+  configure(directory, 's');
+  assert.deepEqual(names(directory), ['a']);
+  assert.equal(directory.entryAt(sound.address), sound);
+});
+
+test.test('without a start no entry takes an address over', () => {
+  const directory = directoryWith(entry('a'), entry('b', {startedAtMs: 6}));
+  configure(directory, 's');
+  assert.deepEqual(names(directory), ['a', 'b']);
+});
+
+// Guards against a refusal for each request after the entry of a server that is gone was listed again.
+test.test('a start is not used again after another server answered', t => {
+  t.mock.timers.enable({apis: ['setTimeout']});
+  const start = entry('a', {startedAtMs: 5});
+  const directory = directoryWith(start, entry('b'));
+  directory.onMisdirected(start);
+  assert.deepEqual(names(directory), ['b']);
+  directory.onServerEntry('a', {...start, capacity: 5});
+  directory.replaceServerEntries(listOf(start, entry('b')), true);
+  t.mock.timers.tick(EXPIRED_MS);
+  assert.deepEqual(names(directory), ['b']);
+});
+
+// Guards against a server that started again and is not used, as its start before was refused late.
+test.test('another server at an address concerns one start', () => {
+  const [before, after] = [5, 6].map(startedAtMs =>
+    entry('a', {startedAtMs, address: `10.0.0.${startedAtMs}:80`}),
+  );
+  const directory = directoryWith(before, after);
+  directory.onMisdirected(before);
+  assert.equal(directory.entry('a'), after);
+});
+
+// Guards against a service without any server for a single refusal, and against one that is used for ever.
+test.test('the last server of a service is dropped after a while', t => {
+  t.mock.timers.enable({apis: ['setTimeout']});
+  const start = entry('a', {startedAtMs: 5});
+  const directory = directoryWith(start);
+  directory.onMisdirected(start);
+  assert.deepEqual(names(directory), ['a']);
+  directory.onServerEntry('a', {...start, capacity: 5});
+  t.mock.timers.tick(2000);
+  assert.deepEqual(names(directory), []);
+  directory.onServerEntry('a', entry('a', {startedAtMs: 6}));
+  assert.deepEqual(names(directory), ['a']);
+});
--- a/packages/gateway/src/directory.ts
+++ b/packages/gateway/src/directory.ts
@@ -44,7 +44,7 @@
 
 /** What is known of a start of a backend server that left. */
 interface Departure {
-  /** True if it said itself that it leaves; it does not come back then. */
+  /** True if it does not come back: it said itself that it leaves, or another one has its address. */
   readonly isFinal: boolean;
   /** True if it said so in an answer. */
   readonly isStated: boolean;
@@ -83,6 +83,8 @@
  * may only have expired: one that disappears during or shortly after a store
  * outage is kept for `OUTAGE_GRACE_MS`, and the last one of a service for
  * `LAST_SERVER_GRACE_MS`. Servers in evacuated zones stay listed, and are in no pool.
+ * Neither are those at whose address a later start is listed: an address belongs to
+ * one process, and the entry of the one before stays until it expires.
  *
  * A store that comes back from an older copy may list servers again that left.
  * A start that was draining stays out. One that was gone is used again once its
@@ -92,6 +94,8 @@
 export class Directory {
   private current: routing.configuration.Configuration | undefined;
   private readonly entries = new Map<string, ServerEntry>();
+  /** The latest start at each address, of the services in the configuration. */
+  private latestByAddress: ReadonlyMap<string, ServerEntry> = new Map();
   private readonly removalTimers = new Map<string, NodeJS.Timeout>();
   /** The starts that left, by name from `startOf`, the latest last. */
   private readonly departures = new Map<string, Departure>();
@@ -136,9 +140,12 @@
     return entry && this.isUsable(entry) ? entry : undefined;
   }
 
-  /** The entry of the listed backend server at `address` (ip:port); also in an evacuated zone, for requests that run there. */
+  /** The entry of the listed backend server at `address` (ip:port), of several the one that started last; also in an evacuated zone, for requests that run there. */
   entryAt(address: string): ServerEntry | undefined {
-    return [...this.entries.values()].find(each => each.address === address);
+    return (
+      this.latestByAddress.get(address) ??
+      [...this.entries.values()].find(each => each.address === address)
+    );
   }
 
   /** The entry of a listed backend server by the name of its current start, from `startOf`; also in an evacuated zone. */
@@ -196,8 +203,9 @@
     if (!entry && known && this.mayHaveExpired()) {
       return this.scheduleRemoval(id, OUTAGE_GRACE_MS);
     }
-    const isLast = known && this.servers(known.service).length === 1;
-    if (!entry && isLast) return this.scheduleRemoval(id, LAST_SERVER_GRACE_MS);
+    if (!entry && known && this.isLast(known)) {
+      return this.scheduleRemoval(id, LAST_SERVER_GRACE_MS);
+    }
     if (!entry || entry.isDraining) {
       if (!known) return;
       this.entries.delete(id);
@@ -219,15 +227,21 @@
   /** Stops using a start of a backend server that has stated in an answer that it leaves, whatever its entry says. */
   onLeaving(start: string): void {
     this.addDeparture(start, {isFinal: true, isStated: true});
-    const entry = this.entryOfStart(start);
-    if (!entry) return;
-    const {id} = entry;
-    clearTimeout(this.removalTimers.get(id));
-    this.removalTimers.delete(id);
-    this.entries.delete(id);
-    const reason = 'stated that it leaves';
-    this.options.log.event('server-left', '', {server: id, reason});
-    this.rebuild();
+    this.drop(start, 'stated that it leaves');
+  }
+
+  /** Stops using a start of a backend server at whose address another one has answered. */
+  onMisdirected(entry: ServerEntry): void {
+    const start = startOf(entry);
+    // Without the time of the start, a later one has the same name.
+    const isFinal = entry.startedAtMs > 0;
+    this.addDeparture(start, {isFinal, isStated: false});
+    const known = this.entryOfStart(start);
+    if (!known || !this.isLast(known)) {
+      return this.drop(start, 'another server at its address');
+    }
+    if (this.removalTimers.has(known.id)) return;
+    this.scheduleRemoval(known.id, LAST_SERVER_GRACE_MS);
   }
 
   /** Applies several entries and rebuilds the pools once. */
@@ -293,6 +307,18 @@
     return this.pool(service, false) !== this.pool(service, true);
   }
 
+  /** Removes the entry of a start; one of a later start of the server stays. */
+  private drop(start: string, reason: string): void {
+    const entry = this.entryOfStart(start);
+    if (!entry) return;
+    const {id} = entry;
+    clearTimeout(this.removalTimers.get(id));
+    this.removalTimers.delete(id);
+    this.entries.delete(id);
+    this.options.log.event('server-left', '', {server: id, reason});
+    this.rebuild();
+  }
+
   private recordDeparture(entry: ServerEntry): void {
     this.addDeparture(startOf(entry), {
       // Without the time of the start, a later one has the same name.
@@ -364,6 +390,12 @@
     return this.isStoreDown || sinceMs < OUTAGE_GRACE_MS;
   }
 
+  /** True if no other backend server of its service may be used. */
+  private isLast(entry: ServerEntry): boolean {
+    const [first, ...others] = this.servers(entry.service);
+    return first === entry && others.length === 0;
+  }
+
   /** Removes an entry after a delay, or later if the store is down by then. */
   private scheduleRemoval(id: string, forMs: number): void {
     const timer = setTimeout(() => {
@@ -380,13 +412,33 @@
     this.removalTimers.set(id, timer);
   }
 
-  private isUsable({zone}: ServerEntry): boolean {
-    return !this.options.isEvacuated?.(zone);
+  private isUsable(entry: ServerEntry): boolean {
+    return !this.options.isEvacuated?.(entry.zone) && !this.isSuperseded(entry);
+  }
+
+  /** True if a later start is listed at the same address; unknown, and false, if either entry does not state its start. */
+  private isSuperseded({address, startedAtMs}: ServerEntry): boolean {
+    const latest = this.latestByAddress.get(address);
+    return startedAtMs > 0 && !!latest && latest.startedAtMs > startedAtMs;
+  }
+
+  /** Returns the latest start at each address. An entry of an unknown service, as of another writer, takes no address. */
+  private findLatest(): ReadonlyMap<string, ServerEntry> {
+    const latest = new Map<string, ServerEntry>();
+    for (const entry of this.entries.values()) {
+      const {address, service, startedAtMs} = entry;
+      if (!this.current?.service(service)) continue;
+      const known = latest.get(address);
+      if (known && known.startedAtMs >= startedAtMs) continue;
+      latest.set(address, entry);
+    }
+    return latest;
   }
 
   private rebuild(): void {
     this.isStale = this.isBatching;
     if (this.isBatching) return;
+    this.latestByAddress = this.findLatest();
     const services = new Set([...this.entries.values()].map(e => e.service));
     const edits: decisions.config.Edit[] = [];
     for (const service of services) {
--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -975,9 +975,7 @@
     const outcome = failures.OUTCOMES[failure.cause](hasCrashed);
     if (!isInDoubt) cold.onOutcome(entry.id, outcome);
     slots.done(grant.ticketId, isInDoubt ? {kind: 'cancelled'} : outcome);
-    if (failure.cause === 'wrong-server') {
-      directory.onServerEntry(entry.id, undefined);
-    }
+    if (failure.cause === 'wrong-server') directory.onMisdirected(entry);
   }
 
   /** Resolves to whether the backend server of an attempt that broke off accepts connections from no host. */
