--- a/packages/decisions/src/runner.ts
+++ b/packages/decisions/src/runner.ts
@@ -79,7 +79,7 @@
  */
 const PEAK_SPAN_MS = 1000;
 
-/** Whether a runner accepts new work: a `leaving` one only finishes its requests, one that is `down` is retried after a backoff. */
+/** Whether a runner accepts new work: a `leaving` one only finishes its requests for `LEAVING_HOLD_MS`, one that is `down` is retried after a backoff. */
 export type RunnerState = 'live' | 'leaving' | 'down';
 
 /** The fraction of a runner's budget up to which tickets of each tier are granted; the rest is reserved for higher tiers. */
@@ -89,7 +89,7 @@
   3: 0.95,
 };
 
-/** A ticket that was granted on a runner that was down. */
+/** A ticket that was granted on a runner that was down or had left. */
 interface Probe {
   readonly ticketId: string;
   readonly grantedMs: number;
@@ -104,7 +104,7 @@
   readonly brokenInARow: number;
   /** When a runner that is down accepts a probe. */
   readonly retryAtMs: number;
-  /** The last ticket that was granted while the runner was down; undefined if it holds no slot any more. */
+  /** The last ticket that was granted while the runner was not live; undefined if it holds no slot any more. */
   readonly probe: Probe | undefined;
   /** When a report or an attempt last showed the runner as leaving. */
   readonly leavingAtMs: number;
@@ -258,18 +258,25 @@
 
   /**
    * Returns true if the runner accepts new work at `nowMs`; after its backoff, a
-   * runner that is down accepts one request as a probe. Those granted before may
-   * hang until their deadlines.
+   * runner that is down or has left accepts one request as a probe. Those granted
+   * before may hang until their deadlines.
    */
   isAvailable(nowMs: number): boolean {
     const {state, retryAtMs, probe} = this.fields;
     if (state === 'live') return true;
-    if (state === 'leaving') return !this.isLeavingAt(nowMs);
     const probedMs = probe?.grantedMs ?? -Infinity;
-    return nowMs >= Math.max(retryAtMs, probedMs + PROBE_PATIENCE_MS);
+    const nextProbeMs = Math.max(retryAtMs, probedMs + PROBE_PATIENCE_MS);
+    return this.mayReturn(nowMs) && nowMs >= nextProbeMs;
   }
 
-  private isLeavingAt(nowMs: number): boolean {
+  /** Returns true if the runner takes no more than probes, and will be live again if one is answered. */
+  mayReturn(nowMs: number): boolean {
+    const {state} = this.fields;
+    return state === 'down' || (state === 'leaving' && !this.isLeaving(nowMs));
+  }
+
+  /** Returns true if the runner was reported as leaving lately; where there are no reports of its state, only a probe shows that it does not leave any more. */
+  private isLeaving(nowMs: number): boolean {
     const {state, leavingAtMs} = this.fields;
     return state === 'leaving' && nowMs - leavingAtMs < LEAVING_HOLD_MS;
   }
@@ -426,7 +433,7 @@
   occupy(ticket: tickets.Ticket, grantedMs: number): Runner {
     const {usedTokens, running, prefixCache, server, state} = this.fields;
     const probe =
-      state === 'down' ? {ticketId: ticket.id, grantedMs} : this.fields.probe;
+      state === 'live' ? this.fields.probe : {ticketId: ticket.id, grantedMs};
     const fitting = Math.ceil(server.slotTokens / prefixcache.BLOCK_TOKENS);
     const maxBlocks = Math.min(fitting, prefixcache.MAX_TRACKED_BLOCKS);
     return this.with({
@@ -529,8 +536,8 @@
    */
   withReportedState(isLeaving: boolean, nowMs: number): Runner {
     if (isLeaving) return this.with({state: 'leaving', leavingAtMs: nowMs});
-    const isOver = this.fields.state === 'leaving' && !this.isLeavingAt(nowMs);
-    return isOver ? this.with({state: 'live'}) : this;
+    if (this.fields.state !== 'leaving' || this.isLeaving(nowMs)) return this;
+    return this.with({state: 'live'});
   }
 
   /** Forgets a pace that was measured long ago, if nothing runs that could be measured. */
@@ -574,7 +581,7 @@
       MAX_BACKOFF_MS[cause],
       FIRST_BACKOFF_MS * 2 ** (consecutiveFailures - 1),
     );
-    const state = this.isLeavingAt(nowMs) ? 'leaving' : 'down';
+    const state = this.isLeaving(nowMs) ? 'leaving' : 'down';
     return this.with({
       state,
       consecutiveFailures,
@@ -632,7 +639,7 @@
     return this.withReportedUse(measured.inUse, nowMs).with({
       slowdown: slowdowns.latest(slowdown, slowdownPercent, atMs),
       progressMs: nowMs,
-      state: this.isLeavingAt(nowMs) ? 'leaving' : 'live',
+      state: this.isLeaving(nowMs) ? 'leaving' : 'live',
       consecutiveFailures: 0,
       brokenInARow: 0,
       completions: this.fields.completions + 1,
