A server that one host takes for gone is tried again

What callers saw: a backend server that was listed and sound got no request any more, and where that befell all servers of a cell its requests were refused with `no-backend-server` for as long as their keeper ran. It takes a host that does not list the server at the moment of a grant while the keeper does, as after a return of the store, when entries that lapsed come back and hosts drop and list them at different moments, or a 421.

Cause: such a grant is given back as of a runner that leaves. A runner that leaves becomes live again only by a load report, which hosts of the gateway don't poll. Its entry need not be gone at the keeper either, so it isn't built anew.

Evidence: "a runner that one host takes for gone is tried again" (packages/decisions/src/cell.test.ts), before this change, 5 s after the report:

AssertionError: Expected values to be strictly deep-equal: + [] - ['late']

By reading, not by a play of hosts: that hosts differ so after an outage.

Change: 5 s after the last report a runner that is still configured is tried again like one that is down, with one request first. A server that does leave is taken from the configuration by then, and a host sends nothing to one that it does not list.

--- a/packages/decisions/src/cell.test.ts
+++ b/packages/decisions/src/cell.test.ts
@@ -790,3 +790,27 @@
   applied = applied.cell.apply(ask(ticket('last')), 11_100);
   assert.deepEqual(grants(applied), []);
 });
+
+// Guards against a runner that is never used again, as one host did not list it when its slot was granted (RECOVER).
+test.test('a runner that one host takes for gone is tried again', () => {
+  const gone: runners.Outcome = {kind: 'not-admitted', isLeaving: true};
+  let cell = cellWith(server('s1'));
+  cell = cell.apply(ask(ticket('first')), 0).cell;
+  cell = cell.apply({kind: 'done', ticketId: 'first', outcome: gone}, 100).cell;
+  let applied = cell.apply(ask(ticket('early')), 5000);
+  assert.deepEqual(refusals(applied), ['early']);
+  applied = applied.cell.apply(ask(ticket('late')), 5100);
+  assert.deepEqual(grants(applied), ['late']);
+  applied = applied.cell.apply(ask(ticket('waits')), 5200);
+  assert.deepEqual(grants(applied), []);
+  const measured = {prefillTokens: 0, outputTokens: 10, firstTokenMs: 0};
+  const outcome: runners.Outcome = {
+    kind: 'completed',
+    measured: {...measured, durationMs: 100},
+  };
+  const done = {kind: 'done' as const, ticketId: 'late', outcome};
+  applied = applied.cell.apply(done, 5300);
+  assert.deepEqual(grants(applied), ['waits']);
+  applied = applied.cell.apply(ask(ticket('beside')), 5400);
+  assert.deepEqual(grants(applied), ['beside']);
+});
--- a/packages/decisions/src/runner.ts
+++ b/packages/decisions/src/runner.ts
@@ -40,7 +40,11 @@
 /** A completion that is recorded this long after the grant of another attempt shows that the runner was sound after it, in milliseconds. */
 const SOUND_AFTER_MS = 500;
 
-/** How long a runner stays `leaving` after the last report that it leaves, in milliseconds. */
+/**
+ * How long a runner stays `leaving` after the last report that it leaves, in
+ * milliseconds; then it is tried again if it is still configured. A host may
+ * have taken it for gone that does not list it yet, or no longer.
+ */
 const LEAVING_HOLD_MS = 5000;
 
 /** The weight of a new attempt in the failure rate. */
@@ -255,11 +259,16 @@
     if (state === 'live') return true;
     const probedMs = probe?.grantedMs ?? -Infinity;
     return (
-      state === 'down' &&
+      !this.isLeaving(nowMs) &&
       nowMs >= Math.max(retryAtMs, probedMs + PROBE_PATIENCE_MS)
     );
   }
 
+  private isLeaving(nowMs: number): boolean {
+    const {state, leavingAtMs} = this.fields;
+    return state === 'leaving' && nowMs - leavingAtMs < LEAVING_HOLD_MS;
+  }
+
   /** Returns true if the runner is in a region that the ticket may use, serves its version and accepts requests of its host; one without known versions serves all. */
   serves(ticket: tickets.Ticket): boolean {
     const {versions, server} = this.fields;
@@ -404,15 +413,16 @@
 
   /** Assigns a slot to the ticket as of `grantedMs`. */
   occupy(ticket: tickets.Ticket, grantedMs: number): Runner {
-    const {usedTokens, running, prefixCache, server, state} = this.fields;
+    const {usedTokens, running, prefixCache, server} = this.fields;
+    const isTriedAgain = this.state === 'leaving' && !this.isLeaving(grantedMs);
+    const state = isTriedAgain ? 'down' : this.state;
     const probe =
-      state === 'down' ? {ticketId: ticket.id, grantedMs} : this.fields.probe;
+      state === 'live' ? this.fields.probe : {ticketId: ticket.id, grantedMs};
     const fitting = Math.ceil(server.slotTokens / prefixcache.BLOCK_TOKENS);
     const maxBlocks = Math.min(fitting, prefixcache.MAX_TRACKED_BLOCKS);
     return this.with({
       usedTokens: usedTokens + tickets.slotTokens(ticket),
-      running: running + 1,
-      probe,
+      ...{running: running + 1, state, probe},
       progressMs: running === 0 ? grantedMs : this.fields.progressMs,
       expectedRunningMs:
         this.fields.expectedRunningMs + this.expectedMs(ticket),
@@ -496,9 +506,8 @@
    */
   withReportedState(isLeaving: boolean, nowMs: number): Runner {
     if (isLeaving) return this.with({state: 'leaving', leavingAtMs: nowMs});
-    const {state, leavingAtMs} = this.fields;
-    const isExpired = nowMs - leavingAtMs >= LEAVING_HOLD_MS;
-    return state === 'leaving' && isExpired ? this.with({state: 'live'}) : this;
+    const isExpired = this.state === 'leaving' && !this.isLeaving(nowMs);
+    return isExpired ? this.with({state: 'live'}) : this;
   }
 
   /** Forgets a pace that was measured long ago, if nothing runs that could be measured. */
@@ -542,7 +551,7 @@
       MAX_BACKOFF_MS[cause],
       FIRST_BACKOFF_MS * 2 ** (consecutiveFailures - 1),
     );
-    const state = this.fields.state === 'leaving' ? 'leaving' : 'down';
+    const state = this.isLeaving(nowMs) ? 'leaving' : 'down';
     return this.with({
       state,
       consecutiveFailures,
@@ -600,7 +609,7 @@
     return this.withReportedUse(measured.inUse, nowMs).with({
       slowdown: slowdowns.latest(slowdown, slowdownPercent, atMs),
       progressMs: nowMs,
-      state: this.fields.state === 'leaving' ? 'leaving' : 'live',
+      state: this.isLeaving(nowMs) ? 'leaving' : 'live',
       consecutiveFailures: 0,
       brokenInARow: 0,
       completions: this.fields.completions + 1,
