--- a/packages/decisions/src/runner.ts
+++ b/packages/decisions/src/runner.ts
@@ -431,15 +431,16 @@
 
   /** Assigns a slot to the ticket as of `grantedMs`. */
   occupy(ticket: tickets.Ticket, grantedMs: number): Runner {
-    const {usedTokens, running, prefixCache, server, state} = this.fields;
+    const {usedTokens, running, prefixCache, server} = this.fields;
+    const isTriedAgain = this.state === 'leaving' && !this.isLeaving(grantedMs);
+    const state = isTriedAgain ? 'down' : this.state;
     const probe =
       state === 'live' ? this.fields.probe : {ticketId: ticket.id, grantedMs};
     const fitting = Math.ceil(server.slotTokens / prefixcache.BLOCK_TOKENS);
     const maxBlocks = Math.min(fitting, prefixcache.MAX_TRACKED_BLOCKS);
     return this.with({
       usedTokens: usedTokens + tickets.slotTokens(ticket),
-      running: running + 1,
-      probe,
+      ...{running: running + 1, state, probe},
       progressMs: running === 0 ? grantedMs : this.fields.progressMs,
       expectedRunningMs:
         this.fields.expectedRunningMs + this.expectedMs(ticket),
