--- a/packages/decisions/src/suspectparts.test.ts
+++ b/packages/decisions/src/suspectparts.test.ts
@@ -126,6 +126,16 @@
   assert.deepEqual(statuses(of(...row), 23_000, ['a']), ['refused']);
 });
 
+// Guards against a part that nobody has answered yet and that two backend servers had when they lost power: it is refused for 30 s (RECOVER).
+test.test(
+  'a new part at two backend servers that lose power together',
+  {todo: 'KNOWN-RED'},
+  () => {
+    const both = of(crash(1000, [['a']]), crash(1030, [['a']]));
+    assert.deepEqual(statuses(both, 13_000, ['a']), ['suspect']);
+  },
+);
+
 test.test('a refused part is tried again after longer and longer times', () => {
   const twice = of(crash(1000, [['a']]), crash(2000, [['a']]));
   const {retryAtMs} = twice.statusOf(['a'], 2000);
