An answer that has begun speaks for its prompt parts

Callers saw half of their requests refused with 503 (suspect-part) for 30 s when all backend servers and all hosts but one lost power soon after the start: a part that all requests share was at two of the crashes before any request with it had ended, though answers to many had begun.

A request whose answer has begun accuses nothing, and now its host also remembers the time at which it began as an answer to its parts, and tells the others at a crash, as it does for answers that ended.

--- a/packages/fleet/src/crashes.ts
+++ b/packages/fleet/src/crashes.ts
@@ -56,7 +56,7 @@
 export class Crashes {
   private suspects = decisions.suspects.SuspectRequests.empty;
   private parts = decisions.suspectparts.SuspectParts.empty;
-  /** When a request with each part was last answered, the least recent first. */
+  /** When the last answer to a request with each part began or ended, the least recent first. */
   private readonly answeredMs = new Map<string, number>();
   /** When each request last completed, by fingerprint, the least recent first. */
   private readonly completedMs = new Map<string, number>();
@@ -147,6 +147,8 @@
       markBegun: () => {
         if (!requests.has(key)) return;
         requests.set(key, {...entry, hasBegun: true});
+        const atMs = this.options.clock.nowMs();
+        for (const part of parts) this.rememberAnswer(part, atMs);
       },
       end: () => {
         requests.delete(key);
