A slot on a server that its host does not list is exchanged

Hosts read the list of servers at different times: a keeper that lists a server grants slots on it to hosts that do not list it yet, or no longer. Such a host ended the request with 503 and a second's Retry-After; if it learned of the change between grant and send, it reported the server as leaving, which kept all other hosts from it for the time of a leave.

The host now gives the slot back and asks for another one without that server; what it does not list tells the keeper nothing. A keeper that grants the same server again is not asked once more.

--- a/packages/fleet/src/slots.test.ts
+++ b/packages/fleet/src/slots.test.ts
@@ -59,6 +59,8 @@
   readonly hosts = new Map<string, TestHost>();
   members: readonly decisions.membership.Member[];
   service = SERVICE;
+  /** The service as hosts see it that have not yet read its last change. */
+  readonly serviceSeenBy = new Map<string, decisions.config.Service>();
   private readonly queue: Sent[] = [];
 
   constructor(names: readonly string[]) {
@@ -124,7 +126,10 @@
       timeline: new timelines.Timeline(name),
       config: () =>
         decisions.config.Config.restore(1, [
-          {entry: 'service', name: this.service.name, value: this.service},
+          {
+            ...{entry: 'service', name: this.service.name},
+            value: this.serviceSeenBy.get(name) ?? this.service,
+          },
         ]),
       serving: () => this.members,
     };
@@ -187,7 +192,7 @@
   const asked: TestRequest = {id: `r${serial}`, host, tier};
   const slotRequest = {
     requestId: asked.id,
-    service: SERVICE,
+    service: fleet.serviceSeenBy.get(host.name) ?? SERVICE,
     account: ACCOUNT,
     tier,
     deadlineMs: fleet.clock.monotonicMs() + leftMs,
@@ -272,6 +277,32 @@
   },
 );
 
+// Guards against refusals while other servers are free, and slots that stay taken, as hosts read the list at different times.
+test.test(
+  'a slot on a server that its host does not list is exchanged',
+  async () => {
+    const fleet = new TestFleet(['h1', 'h2', 'h3', 'h4', 'h5', 'h6']);
+    const {backendServers} = SERVICE;
+    const key = decisions.celltopology.parseCellName('s@z1');
+    const keeper = decisions.celltopology.keeperOf(key, fleet.members);
+    const [behind, ahead] = keeper === 'h1' ? ['h4', 'h1'] : ['h1', 'h4'];
+    const listed = backendServers.filter(({name}) => name !== 'z1-0');
+    fleet.serviceSeenBy.set(behind, {...SERVICE, backendServers: listed});
+    const askMany = async (name: string, count: number) => {
+      const host = fleet.hosts.get(name) ?? hostAt(fleet, 0);
+      const all = Array.from({length: count}, () =>
+        ask(fleet, host, 1, 10_000),
+      );
+      fleet.deliver();
+      await settled();
+      return all.map(({grant, failure}) => failure ?? grant?.server.name);
+    };
+    const granted = await askMany(behind, 5);
+    assert.deepEqual(granted.sort(), ['z1-1', 'z1-2', 'z1-3', 'z1-4', 'z1-5']);
+    assert.deepEqual(await askMany(ahead, 1), ['z1-0']);
+  },
+);
+
 // Guards against grants of a new backend server that were lost until the request was repeated.
 test.test('a server that is added takes a waiting request', async () => {
   const fleet = new TestFleet(['h1']);
--- a/packages/fleet/src/slots.ts
+++ b/packages/fleet/src/slots.ts
@@ -283,8 +283,9 @@
     }
     const {slotRequest, cell} = pending;
     const server = this.findServer(slotRequest.service, grant.runner);
+    if (!server) return this.exchangeGrant(pending, grant.runner);
     const {allowedRegions} = slotRequest;
-    if (server && !decisions.regions.isAllowed(allowedRegions, server.region)) {
+    if (!decisions.regions.isAllowed(allowedRegions, server.region)) {
       return this.returnGrant(pending, server);
     }
     this.pending.delete(grant.ticketId);
@@ -295,12 +296,22 @@
       runner: grant.runner,
       grantedMs,
     });
-    if (server) {
-      const {ticketId, heldBackMs} = grant;
-      return pending.resolve({ticketId, server, heldBackMs});
-    }
-    this.done(grant.ticketId, {kind: 'cancelled'});
-    pending.reject(failed(noRunner()));
+    const {ticketId, heldBackMs} = grant;
+    pending.resolve({ticketId, server, heldBackMs});
+  }
+
+  /**
+   * Gives back a grant on a backend server that this host does not list, as
+   * hosts read the list at different times, and asks for another one. A keeper
+   * that grants the same server again is not asked once more.
+   */
+  private exchangeGrant(pending: PendingRequest, server: string): void {
+    const {slotRequest} = pending;
+    const {excluded = []} = slotRequest;
+    this.withdraw(slotRequest.requestId);
+    if (excluded.includes(server)) return pending.reject(failed(noRunner()));
+    const changed = {...slotRequest, excluded: [...excluded, server]};
+    this.ask({...pending, slotRequest: changed});
   }
 
   /**
--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -154,8 +154,6 @@
 
 /** The outcome of a slot that was not used. */
 const CANCELLED: decisions.runner.Outcome = {kind: 'cancelled'};
-/** The outcome of a slot whose backend server left or was evacuated before the send. */
-const GONE: decisions.runner.Outcome = {kind: 'not-admitted', isLeaving: true};
 
 /** Dispatches requests to backend servers and relays the responses. */
 export class Dispatcher {
@@ -312,11 +310,12 @@
         (this.nowMs - accepted.received.arrivedMs) / 1000,
       );
       const entry = directory.entry(grant.server.name);
-      if (entry && this.reports.backoffs.remainingMs(entry) > 0) {
+      // That this host does not list the server any more, or not yet, tells others nothing.
+      if (!entry || this.reports.backoffs.remainingMs(entry) > 0) {
         return this.returnSlot(accepted, progress, grant, slotRequest);
       }
-      if (!entry || !cold.trySend(entry.id)) {
-        slots.done(grant.ticketId, entry ? CANCELLED : GONE);
+      if (!cold.trySend(entry.id)) {
+        slots.done(grant.ticketId, CANCELLED);
         progress.isRetryCounted = progress.attempts > 0;
         return RETRY;
       }
@@ -339,7 +338,7 @@
     }
   }
 
-  /** Gives back a slot on a backend server that accepts nothing from this host now; the next slot request excludes the server. */
+  /** Gives back a slot on a backend server that accepts nothing from this host now, or that this host does not list; the next slot request excludes the server. */
   private async returnSlot(
     accepted: requests.AcceptedRequest,
     progress: Progress,
