A server that fails requests does not draw those of hosts without their keeper

While machines come back, hosts whose keeper does not answer choose servers by themselves, those of which they hold the fewest slots.

A server at which an attempt of the host failed in the last half second, and none completed since, now counts as full in that choice.

--- a/packages/fleet/src/slots.ts
+++ b/packages/fleet/src/slots.ts
@@ -20,6 +20,9 @@
 /** The retry delay of a request whose keeper granted it only slots in regions that it may not use. */
 const OUTSIDE_RETRY_MS = 1000;
 
+/** How long a failed attempt counts in the choice of a backend server without a keeper. */
+const FAILED_LATELY_MS = 500;
+
 /** Tiers are numbered from 1, the highest. */
 const LOWEST_TIER = decisions.config.TIERS.length;
 
@@ -146,6 +149,8 @@
   private readonly pending = new Map<string, PendingRequest>();
   private readonly held = new Map<string, HeldSlot>();
   private readonly keepers = new Map<string, string>();
+  /** When an attempt last failed, by backend server; those of long ago are removed. */
+  private readonly failedMs = new Map<string, number>();
   private readonly reportedWaits = new Map<string, ReportedWait>();
   private timer: NodeJS.Timeout | undefined;
 
@@ -175,6 +180,12 @@
     return count;
   }
 
+  /** Returns true if an attempt of this host at a backend server failed in the last half second, and none completed since. */
+  hasFailedLately(server: string): boolean {
+    const atMs = this.failedMs.get(server) ?? -Infinity;
+    return this.options.clock.monotonicMs() - atMs < FAILED_LATELY_MS;
+  }
+
   /** Waits for a slot; rejects with FailureError (not-run) when refused, past the deadline or cancelled. */
   acquire(slotRequest: SlotRequest, signal: AbortSignal): Promise<Grant> {
     if (signal.aborted) {
@@ -230,6 +241,7 @@
     const held = this.held.get(ticketId);
     if (!held) return;
     this.held.delete(ticketId);
+    this.recordFailure(held.runner, outcome);
     const measured =
       outcome.kind === 'completed' ? outcome.measured : NOT_MEASURED;
     this.sendToKeeper(held.cell, {
@@ -251,6 +263,19 @@
     });
   }
 
+  private recordFailure(
+    server: string,
+    {kind}: decisions.runner.Outcome,
+  ): void {
+    if (kind === 'cancelled') return;
+    this.failedMs.delete(server);
+    if (kind === 'completed') return;
+    for (const name of this.failedMs.keys()) {
+      if (!this.hasFailedLately(name)) this.failedMs.delete(name);
+    }
+    this.failedMs.set(server, this.options.clock.monotonicMs());
+  }
+
   /** Returns a slot for which nothing was sent, so that it does not count against the limit of its backend server. */
   giveBack(ticketId: string): void {
     const held = this.held.get(ticketId);
--- a/packages/gateway/src/host.ts
+++ b/packages/gateway/src/host.ts
@@ -292,6 +292,7 @@
         fallbacks.chooseServer(slotRequest, {
           ...{region, random},
           heldOn: server => this.slots.heldOn(server),
+          hasFailedLately: server => this.slots.hasFailedLately(server),
           limitPerSOf: server => this.serverLimits.limitPerSOf(server),
           isBrittle: server => this.serverStatements.isBrittle(server),
         }),
