Brittle servers have the room that their rejections show

Callers saw: servers that state Server-Brittle and have fewer slots than the list says fell over again and again, and most requests were not served.

Cause: after a rejection a server was tried with one request, and again with as many as the list allows some hundred milliseconds later.

The requests that run when a brittle server rejects one are its room from then on, and one more is tried every 3 s, whether or not the server restarts.

--- a/packages/decisions/src/runner.ts
+++ b/packages/decisions/src/runner.ts
@@ -56,6 +56,9 @@
 /** How long a request that may run on counts as running, as a multiple of its expected time. */
 const LINGER_FACTOR = 2;
 
+/** The interval at which a brittle runner that has rejected a request is tried with one more, in milliseconds. */
+const ROOM_RAISE_INTERVAL_MS = 3000;
+
 /** The time over which a reported number of foreign requests (those not granted by this cell) decays linearly to zero, in milliseconds. */
 const FOREIGN_DECAY_MS = 1500;
 
@@ -76,6 +79,12 @@
   3: 0.95,
 };
 
+/** How many requests a brittle runner had room for when it last rejected one. */
+interface ShownRoom {
+  readonly count: number;
+  readonly atMs: number;
+}
+
 interface RunnerFields {
   readonly server: config.BackendServer;
   readonly versions: readonly string[];
@@ -107,6 +116,7 @@
   readonly startRate: startrates.StartRate | undefined;
   /** The part of the slots that may be used of a runner that states that it is brittle; undefined if it does not. */
   readonly brittlePart: number | undefined;
+  readonly shownRoom: ShownRoom | undefined;
   /** Until when requests that were given up may still run there, on the monotonic clock. */
   readonly lingeringUntilMs: readonly number[];
   /** The attempts completed since the runner was created or last went down. */
@@ -171,7 +181,7 @@
       failureRate: 0,
       startRate: undefined,
       ...{brittlePart: undefined, completions: 0, slowdown: undefined},
-      lingeringUntilMs: [],
+      ...{lingeringUntilMs: [], shownRoom: undefined},
       ...{progressMs: -Infinity, expectedRunningMs: 0},
     });
   }
@@ -281,6 +291,7 @@
    * Returns true unless the runner is brittle and one more request might have to
    * wait there. Others' requests count in full while their report is recent, as do
    * those that were given up and may run on.
+   * One that rejects a request has room for fewer than its slots.
    * A runner that was down or is new to its keeper starts with one request, and
    * each one that completes makes room for one more at a time.
    */
@@ -290,11 +301,18 @@
     const {foreignRunning, foreignReportedAtMs} = this.fields;
     const isRecent = nowMs - foreignReportedAtMs < FOREIGN_DECAY_MS;
     const slots = Math.max(1, Math.floor(server.maxRunning * brittlePart));
-    const room = Math.min(slots, completions + 1);
+    const room = Math.min(slots, completions + 1, this.shownRoomAt(nowMs));
     const lingering = this.lingeringAt(nowMs).length;
     return running + lingering + (isRecent ? foreignRunning : 0) < room;
   }
 
+  private shownRoomAt(nowMs: number): number {
+    const {shownRoom} = this.fields;
+    if (!shownRoom) return Infinity;
+    const {count, atMs} = shownRoom;
+    return count + Math.floor((nowMs - atMs) / ROOM_RAISE_INTERVAL_MS);
+  }
+
   private lingeringAt(nowMs: number): readonly number[] {
     return this.fields.lingeringUntilMs.filter(untilMs => nowMs < untilMs);
   }
@@ -515,6 +533,15 @@
     return new Runner({...this.fields, ...change});
   }
 
+  /** Marks the runner as down after it rejected a request; a brittle one shows by that how many it has room for. */
+  recordRejection(nowMs: number): Runner {
+    const down = this.markDown('not-admitted', nowMs);
+    const {brittlePart, running} = this.fields;
+    if (brittlePart === undefined) return down;
+    const count = Math.min(this.shownRoomAt(nowMs), Math.max(1, running));
+    return down.with({shownRoom: {count, atMs: nowMs}});
+  }
+
   /** Marks the runner as down until a backoff has passed. */
   markDown(cause: keyof typeof MAX_BACKOFF_MS, nowMs: number): Runner {
     const consecutiveFailures = this.fields.consecutiveFailures + 1;
@@ -596,7 +623,7 @@
   'not-admitted': (runner, outcome, nowMs) =>
     outcome.isLeaving
       ? runner.withReportedState(true, nowMs)
-      : runner.markDown('not-admitted', nowMs),
+      : runner.recordRejection(nowMs),
   unreachable: (runner, _, nowMs) => runner.markDown('unreachable', nowMs),
   crashed: (runner, _, nowMs) => runner.markDown('crashed', nowMs),
   silent: (runner, _, nowMs) =>
--- a/packages/fleet/src/brittle.test.ts
+++ b/packages/fleet/src/brittle.test.ts
@@ -26,6 +26,8 @@
   /** When no request may wait any more; as soon as servers are brittle by default. */
   readonly strictFromMs?: number;
   readonly foreignAt?: (nowMs: number) => number;
+  /** The slots that servers have; those of the list by default. */
+  readonly realSlots?: number;
 }
 
 /** Runs a model whose servers are full, and brittle from a time on. */
@@ -44,7 +46,7 @@
     stateOf: (_: number, nowMs: number) => {
       const isBrittle = nowMs >= BRITTLE_FROM_MS && isStated;
       return {
-        ...{slowdown: 1, foreign: foreignAt(nowMs)},
+        ...{slowdown: 1, foreign: foreignAt(nowMs), slots: scene.realSlots},
         brittle: isBrittle ? maxRejections : undefined,
         maxWaiting: nowMs >= strictFromMs ? 0 : 20,
       };
@@ -183,3 +185,15 @@
     await model.run(6000);
   }),
 );
+
+// Guards against a list that says more slots than servers have: each request too many is rejected, again and again.
+test.test('brittle servers with fewer slots than the list says', () =>
+  checkFailures({realSlots: 4}, model => model.run(8000)),
+);
+
+// Guards against the same where several requests too many are sent at once.
+test.test('brittle servers with half of the slots of the list', () =>
+  checkFailures({slots: 8, realSlots: 4, workMs: 300}, model =>
+    model.run(12_000),
+  ),
+);
