An attempt tells nothing of a later start of its server

What callers saw: 503 no-backend-server although their backend server was listed, after it had started again with the same id at another address.

Cause: keepers know runners by id. A refusal that arrives after the later start is listed (the address of the earlier one belongs to another server by then) was reported for that id, and the keeper took the later start for one that leaves.

Fix: the slot of an attempt at an earlier start is returned as cancelled, as where a link is in doubt.

--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -973,11 +973,20 @@
     }
     if (hasCrashed) crashes.recordCrash(entry.id);
     const outcome = failures.OUTCOMES[failure.cause](hasCrashed);
-    if (!isInDoubt) cold.onOutcome(entry.id, outcome);
-    slots.done(grant.ticketId, isInDoubt ? {kind: 'cancelled'} : outcome);
+    const tellsNothing = isInDoubt || this.hasStartedAgain(entry);
+    if (!tellsNothing) cold.onOutcome(entry.id, outcome);
+    slots.done(grant.ticketId, tellsNothing ? CANCELLED : outcome);
     if (failure.cause === 'wrong-server') directory.onMisdirected(entry);
   }
 
+  /** True if a later start of the backend server is listed, of which an attempt at this one tells nothing. */
+  private hasStartedAgain(entry: directories.ServerEntry): boolean {
+    const current = this.options.directory.entry(entry.id);
+    return (
+      !!current && directories.startOf(current) !== directories.startOf(entry)
+    );
+  }
+
   /** Resolves to whether the backend server of an attempt that broke off accepts connections from no host. */
   private async hasCrashed({entry, way}: Attempt): Promise<boolean> {
     const {paths} = this.options;
