A runner that left is probed after a while

What callers saw: a backend server that is listed and sound gets no requests for as long as its entry stays, and 503 no-backend-server if it is the only one.

Cause: hosts report to the keeper that a server leaves, after a 421 or where their own list lacks it. LEAVING_HOLD_MS bounds that only where reports of the server's state are polled; a gateway polls none, as its list of servers removes those that leave. If the keeper's list still has the server, the state has no end.

Evidence: the new test "a runner that no longer leaves is used again" fails before: refused as no-runner at any time.

Fix: after LEAVING_HOLD_MS (5 s) without such a report the runner gets one request as a probe, like one that is down, and is live again when that is answered. Where it still leaves, the hosts give the slot back unused and the time begins anew.

--- a/packages/decisions/src/cell.test.ts
+++ b/packages/decisions/src/cell.test.ts
@@ -216,6 +216,38 @@
   assert.equal(cell.runners[0].state, 'leaving');
 });
 
+// Guards against a runner that is never used again, as no report says that it does not leave.
+test.test('a runner that no longer leaves is used again', () => {
+  const outcome = {kind: 'not-admitted', isLeaving: true} as const;
+  let cell = cellWith(server('s1')).apply(ask(ticket('t1')), 0).cell;
+  cell = cell.apply({kind: 'done', ticketId: 't1', outcome}, 0).cell;
+  const [refused] = cell.apply(ask(ticket('t2')), 4999).effects;
+  assert.equal(refused.kind === 'refuse' && refused.reason, 'no-runner');
+  const probed = cell.apply(ask(ticket('t3')), 5000);
+  assert.deepEqual(grants(probed), ['t3']);
+  const waiting = probed.cell.apply(ask(ticket('t4')), 5001);
+  assert.deepEqual(grants(waiting), []);
+  const measured = {
+    ...{prefillTokens: 100, outputTokens: 100},
+    ...{firstTokenMs: 10, durationMs: 20},
+  };
+  const completed = {kind: 'completed', measured} as const;
+  const done = {kind: 'done', ticketId: 't3', outcome: completed} as const;
+  const answered = waiting.cell.apply(done, 5020);
+  assert.deepEqual(grants(answered), ['t4']);
+  assert.equal(answered.cell.runners[0].state, 'live');
+});
+
+test.test('a runner that still leaves is not probed soon again', () => {
+  const outcome = {kind: 'not-admitted', isLeaving: true} as const;
+  let cell = cellWith(server('s1')).apply(ask(ticket('t1')), 0).cell;
+  cell = cell.apply({kind: 'done', ticketId: 't1', outcome}, 0).cell;
+  cell = cell.apply(ask(ticket('t2')), 5000).cell;
+  cell = cell.apply({kind: 'done', ticketId: 't2', outcome}, 5010).cell;
+  const [refused] = cell.apply(ask(ticket('t3')), 10_000).effects;
+  assert.equal(refused.kind === 'refuse' && refused.reason, 'no-runner');
+});
+
 test.test('an unreachable runner is retried after a backoff', () => {
   const outcome = {kind: 'unreachable'} as const;
   let cell = cellWith(server('s1')).apply(ask(ticket('t1')), 0).cell;
--- a/packages/decisions/src/runner.ts
+++ b/packages/decisions/src/runner.ts
@@ -62,7 +62,7 @@
  */
 const PEAK_SPAN_MS = 1000;
 
-/** Whether a runner accepts new work: a `leaving` one only finishes its requests, one that is `down` is retried after a backoff. */
+/** Whether a runner accepts new work: a `leaving` one only finishes its requests for `LEAVING_HOLD_MS`, one that is `down` is retried after a backoff. */
 export type RunnerState = 'live' | 'leaving' | 'down';
 
 /** The fraction of a runner's budget up to which tickets of each tier are granted; the rest is reserved for higher tiers. */
@@ -227,11 +227,23 @@
     return this.fields.prefills.endMs;
   }
 
-  /** Returns true if the runner accepts new work at `nowMs`; after its backoff, a runner that is down accepts one request as a probe. */
+  /** Returns true if the runner accepts new work at `nowMs`; after its backoff, one that is down or has left accepts one request as a probe. */
   isAvailable(nowMs: number): boolean {
     const {state, retryAtMs, running} = this.fields;
     if (state === 'live') return true;
-    return state === 'down' && nowMs >= retryAtMs && running === 0;
+    return this.mayReturn(nowMs) && nowMs >= retryAtMs && running === 0;
+  }
+
+  /** Returns true if the runner takes no more than probes, and will be live again if one is answered. */
+  mayReturn(nowMs: number): boolean {
+    const {state} = this.fields;
+    return state === 'down' || (state === 'leaving' && !this.isLeaving(nowMs));
+  }
+
+  /** Returns true if the runner was reported as leaving lately; where there are no reports of its state, only a probe shows that it does not leave any more. */
+  private isLeaving(nowMs: number): boolean {
+    const {state, leavingAtMs} = this.fields;
+    return state === 'leaving' && nowMs - leavingAtMs < LEAVING_HOLD_MS;
   }
 
   /** Returns true if the runner is in a region that the ticket may use, serves its version and accepts requests of its host; one without known versions serves all. */
@@ -458,9 +470,8 @@
    */
   withReportedState(isLeaving: boolean, nowMs: number): Runner {
     if (isLeaving) return this.with({state: 'leaving', leavingAtMs: nowMs});
-    const {state, leavingAtMs} = this.fields;
-    const isExpired = nowMs - leavingAtMs >= LEAVING_HOLD_MS;
-    return state === 'leaving' && isExpired ? this.with({state: 'live'}) : this;
+    if (this.fields.state !== 'leaving' || this.isLeaving(nowMs)) return this;
+    return this.with({state: 'live'});
   }
 
   /** Replaces the configuration entry and the set of versions. */
@@ -554,7 +565,7 @@
     return this.withReportedUse(measured.inUse, nowMs).with({
       slowdown: slowdowns.latest(slowdown, slowdownPercent, atMs),
       progressMs: nowMs,
-      state: this.fields.state === 'leaving' ? 'leaving' : 'live',
+      state: this.isLeaving(nowMs) ? 'leaving' : 'live',
       consecutiveFailures: 0,
       brokenInARow: 0,
       completions: this.fields.completions + 1,
--- a/packages/decisions/src/waitestimate.ts
+++ b/packages/decisions/src/waitestimate.ts
@@ -49,7 +49,7 @@
     private readonly mayHaveRestricted = true,
   ) {}
 
-  /** Returns the runners that serve the ticket and accept new work or, if there are none, those that are down and will be retried. */
+  /** Returns the runners that serve the ticket and accept new work or, if there are none, those that will be retried. */
   usableRunners(
     ticket: tickets.Ticket,
     nowMs: number,
@@ -60,7 +60,7 @@
     const able = [...this.runners.values()].filter(r => r.serves(ticket));
     const available = able.filter(r => r.isAvailable(nowMs));
     const usable =
-      available.length > 0 ? available : able.filter(r => r.state === 'down');
+      available.length > 0 ? available : able.filter(r => r.mayReturn(nowMs));
     this.usableByKind.set(kind, usable);
     return usable;
   }
