--- a/packages/forwarding/src/upstream.test.ts
+++ b/packages/forwarding/src/upstream.test.ts
@@ -275,6 +275,156 @@
   });
 }
 
+/** How a backend server sends a refusal and, when the request comes again on the same connection, a copy of it. */
+const REFUSALS: Readonly<Record<string, (socket: net.Socket) => void>> = {
+  'whose body is still being read': socket => {
+    socket.write(REFUSAL.replace('h: 0', 'h: 4') + 'no');
+    setTimeout(() => socket.write('t!' + REFUSAL), 40);
+  },
+  'in pieces': socket => {
+    socket.write(REFUSAL.slice(0, 20));
+    setTimeout(() => socket.write(REFUSAL.slice(20)), 10);
+  },
+  'copied twice in one segment': socket => {
+    socket.write(REFUSAL + REFUSAL + REFUSAL);
+  },
+  'copied while the connection is idle': socket => {
+    socket.write(REFUSAL);
+    setTimeout(() => socket.write(REFUSAL), 10);
+  },
+  'that ends with its connection': socket => {
+    socket.end(REFUSAL.replace('Content-Length: 0\r\n', ''));
+  },
+};
+
+// Guards against "not run" for a request that runs, whatever its refusal did to the connection (TWICE).
+for (const [name, refuse] of Object.entries(REFUSALS)) {
+  test.test(`a repeat after a refusal ${name} runs once`, () => {
+    const refused = new Set<net.Socket>();
+    let runs = 0;
+    return withServer(
+      socket => {
+        if (refused.has(socket)) {
+          socket.write(REFUSAL);
+        } else if (refused.size === 0) {
+          refused.add(socket);
+          return refuse(socket);
+        }
+        runs++;
+        setTimeout(() => socket.write(answerTo('a')), 60);
+      },
+      async send => {
+        const carriedBy: connections.CarriedBy = new WeakSet();
+        assert.equal(failed(await send('a', carriedBy)).verdict, 'not-run');
+        const sent = answered(await send('a', carriedBy));
+        assert.equal(String(await upstreams.readBody(sent)), 'a!');
+        assert.equal(runs, 1);
+      },
+    );
+  });
+}
+
+// Guards against a request that is taken for the rest of a body which its backend server reads after the refusal (UNASKED).
+test.test(
+  'a refusal before the body is read keeps its connection',
+  async () => {
+    const received: Buffer[][] = [];
+    const server = net.createServer(socket => {
+      const chunks: Buffer[] = [];
+      const isFirst = received.push(chunks) === 1;
+      socket.on('error', () => undefined);
+      socket.on('data', (chunk: Buffer) => {
+        chunks.push(chunk);
+        if (!isFirst) return void socket.write(answerTo('b'));
+        if (chunks.length > 1) return;
+        socket.pause();
+        socket.write(REFUSAL);
+        setTimeout(() => socket.resume(), 50);
+      });
+    });
+    await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
+    const {port} = server.address() as net.AddressInfo;
+    const upstream = new upstreams.Upstream(NAMES);
+    const send = (id: string, body: Buffer) =>
+      upstream.send(
+        {
+          ...{address: `127.0.0.1:${port}`, method: 'POST', path: '/'},
+          headers: ['X-Id', id, 'Content-Length', String(body.length)],
+          ...{body, requestId: id, carriedBy: new WeakSet()},
+        },
+        new AbortController().signal,
+      );
+    const refusal = failed(await send('a', Buffer.alloc(4_000_000, 'x')));
+    assert.equal(refusal.verdict, 'not-run');
+    const answer = answered(await send('b', Buffer.from('y')));
+    assert.equal(String(await upstreams.readBody(answer)), 'b!');
+    await pause(200);
+    const [first, ...others] = received.map(chunks => Buffer.concat(chunks));
+    const [head, ...rest] = String(first).split('\r\n\r\n');
+    assert.match(head, /X-Id: a/);
+    assert.equal(rest.join('').replaceAll('x', ''), '');
+    assert.equal(others.length, 1);
+    upstream.close();
+    server.close();
+  },
+);
+
+// Guards against "not run" from an interim response, which any party on the way may add.
+test.test(
+  'an interim response with the headers of a refusal refuses nothing',
+  () =>
+    withServer(
+      socket => {
+        const early =
+          'HTTP/1.1 103 Early Hints\r\nX-Id: a\r\nX-Not-Run: 1\r\n\r\n';
+        socket.write(early + answerTo('a'));
+      },
+      async send => {
+        const sent = answered(await send('a'));
+        assert.equal(String(await upstreams.readBody(sent)), 'a!');
+      },
+    ),
+);
+
+// Guards against "not run" for a request that arrives on a connection together with copies of the refusal of another one.
+test.test('copies of a refusal before the next answer refuse nothing', () =>
+  withServer(
+    (socket, requests) => {
+      if (requests === 1) socket.write(REFUSAL);
+      else socket.write(REFUSAL + REFUSAL + answerTo('b'));
+    },
+    async send => {
+      assert.equal(failed(await send('a')).verdict, 'not-run');
+      await pause(20);
+      assert.equal(failed(await send('b')).verdict, 'may-have-run');
+    },
+  ),
+);
+
+// Guards against a request that arrives although its caller has closed before the repeat (GONE).
+test.test('a repeat whose caller has closed is not sent', () => {
+  let requestCount = 0;
+  return withServer(
+    () => requestCount++,
+    async (_, server) => {
+      const {port} = server.address() as net.AddressInfo;
+      const upstream = new upstreams.Upstream(NAMES);
+      const result = await upstream.send(
+        {
+          ...{address: `127.0.0.1:${port}`, method: 'GET', path: '/'},
+          ...{headers: ['X-Id', 'a'], body: Buffer.alloc(0), requestId: 'a'},
+          carriedBy: new WeakSet(),
+        },
+        AbortSignal.abort(),
+      );
+      await pause(20);
+      assert.equal(failed(result).verdict, 'not-run');
+      assert.equal(requestCount, 0);
+      upstream.close();
+    },
+  );
+});
+
 // Guards against a new connection for every request after a refusal, which costs its backend server.
 test.test('another request goes on the connection of a refusal', () => {
   let connectionCount = 0;
--- a/packages/peers/src/tunnels.test.ts
+++ b/packages/peers/src/tunnels.test.ts
@@ -1,5 +1,6 @@
 import * as assert from 'node:assert/strict';
 import * as net from 'node:net';
+import * as stream from 'node:stream';
 import * as test from 'node:test';
 
 import * as linksModule from './links.js';
@@ -118,6 +119,39 @@
   }
 });
 
+// Guards against a request that arrives late although it counts as not run, since its tunnel was given up before it stood (TWICE).
+test.test(
+  'a tunnel that is given up before it stands sends nothing',
+  async () => {
+    const received: string[] = [];
+    const connection = new stream.Duplex({
+      read: () => undefined,
+      write: (bytes: Buffer, _, callback) => {
+        received.push(String(bytes));
+        callback();
+      },
+      destroy: (_, callback) => callback(null),
+    });
+    let onAccepted: () => void = () => undefined;
+    const accepted = new Promise<void>(resolve => (onAccepted = resolve));
+    const accept = () => {
+      onAccepted();
+      return {connection, onBuffered: () => undefined};
+    };
+    await withHosts(accept, async open => {
+      const tunnel = open('10.0.0.1:80');
+      tunnel.on('error', () => undefined);
+      tunnel.write('request');
+      await accepted;
+      connection.emit('connect');
+      assert.equal(tunnel.connecting, true);
+      tunnel.destroy();
+      await new Promise(resolve => setTimeout(resolve, 100));
+    });
+    assert.deepEqual(received, []);
+  },
+);
+
 test.test(
   'a backend server that refuses the connection is unreachable',
   async () => {
