--- a/packages/forwarding/src/upstream.test.ts
+++ b/packages/forwarding/src/upstream.test.ts
@@ -240,6 +240,9 @@
   return `HTTP/1.1 200 OK\r\nX-Id: ${id}\r\nContent-Length: 2\r\n\r\n${id}!`;
 }
 
+/** Longer than a connection may take to stand. */
+const FROZEN_MS = 800;
+
 const pause = (ms: number) => new Promise(resolve => setTimeout(resolve, ms));
 
 // Guards against "not run" for a request that runs: its earlier refusal is written once more (TWICE).
@@ -401,6 +404,22 @@
   ),
 );
 
+// Guards against "not run" for a request that arrives as the host, frozen while it connected, goes on (TWICE).
+test.test('a host that was frozen while it connected sends nothing', () => {
+  let requestCount = 0;
+  return withServer(
+    () => requestCount++,
+    async send => {
+      const sent = send('a');
+      const cell = new Int32Array(new SharedArrayBuffer(4));
+      Atomics.wait(cell, 0, 0, FROZEN_MS);
+      assert.equal(failed(await sent).verdict, 'not-run');
+      await pause(50);
+      assert.equal(requestCount, 0);
+    },
+  );
+});
+
 // Guards against a request that arrives although its caller has closed before the repeat (GONE).
 test.test('a repeat whose caller has closed is not sent', () => {
   let requestCount = 0;
