--- a/packages/forwarding/src/upstream.test.ts
+++ b/packages/forwarding/src/upstream.test.ts
@@ -4,6 +4,7 @@
 
 import type * as connections from './connections.js';
 import type * as headers from './headers.js';
+import type * as paths from './paths.js';
 import * as upstreams from './upstream.js';
 
 const NAMES: headers.HeaderNames = {
@@ -444,6 +445,49 @@
   );
 });
 
+/** Connects as another host would. */
+const carrying = {
+  dial: (_: string, target: net.NetConnectOpts, onDone: paths.DialCallback) => {
+    const connection = net.connect(target);
+    const idle = {carrier: 'h', startIdle: () => 0, stopIdle: () => 0};
+    connection.once('connect', () =>
+      onDone(null, Object.assign(connection, idle)),
+    );
+  },
+  isCut: () => true,
+} as unknown as paths.Paths;
+
+// Guards against the same where an attempt goes through another host, and only hosts of some regions may be used.
+test.test('a refusal through another host changes the connection', async () => {
+  const refused = new Set<net.Socket>();
+  let copies = 0;
+  const server = net.createServer(socket => {
+    socket.on('error', () => undefined);
+    socket.on('data', () => {
+      if (refused.has(socket)) copies++;
+      if (refused.size > 0) return void socket.write(answerTo('a'));
+      refused.add(socket);
+      socket.write(REFUSAL);
+    });
+  });
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
+  const {port} = server.address() as net.AddressInfo;
+  const upstream = new upstreams.Upstream(NAMES, carrying);
+  const outbound = {
+    ...{address: `127.0.0.1:${port}`, method: 'GET', path: '/'},
+    ...{headers: ['X-Id', 'a'], body: Buffer.alloc(0), requestId: 'a'},
+    ...{carriedBy: new WeakSet(), allowedRegions: ['r']},
+  };
+  const send = () => upstream.send(outbound, new AbortController().signal);
+  assert.equal(failed(await send()).verdict, 'not-run');
+  await pause(20);
+  const answer = answered(await send());
+  assert.equal(String(await upstreams.readBody(answer)), 'a!');
+  assert.equal(copies, 0);
+  upstream.close();
+  server.close();
+});
+
 // Guards against a new connection for every request after a refusal, which costs its backend server.
 test.test('another request goes on the connection of a refusal', () => {
   let connectionCount = 0;
