A retry is counted once the request has arrived somewhere

What callers saw: 503 no-repeat-left in calm traffic after a connection was refused, though another backend server is there.

Cause: the retry budget bounds arrivals beyond the first of each request. A retry after a connection that never stood was counted too, although the request had arrived nowhere. Entries of servers that are gone use the budget up, above all after a start of all hosts, when it is small.

Fix: a retry counts from the first connection that stood. The most attempts of a request and its deadline bound the others, as before, and keepers stop granting slots on a server that refuses connections.

--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -126,6 +126,8 @@
   /** What the host buffers for the request. */
   readonly holding: forwarding.buffers.Holding;
   attempts: number;
+  /** True once an attempt may have arrived at its backend server. */
+  hasArrived: boolean;
   /** True when a failed attempt may have run the request. */
   mayHaveRun: boolean;
   /** True when the next attempt has already been counted in the retry budget. */
@@ -193,6 +195,7 @@
     const progress: Progress = {
       holding,
       attempts: 0,
+      hasArrived: false,
       mayHaveRun: false,
       isRetryCounted: false,
       repeat: undefined,
@@ -452,6 +455,7 @@
         allowedRegions: accepted.allowedRegions,
         onConnected: use => {
           attempt.way.use = use;
+          progress.hasArrived = true;
           onConnected?.();
         },
         // What hangs on a link that is cut must not keep the slot from others.
@@ -1005,12 +1009,13 @@
     return failures.LINK_FAILURES.has(cause) && paths.isCut(entry.address);
   }
 
-  /** True when a request may be retried now; the retry is then counted in the budget. */
+  /** True when a request may be retried now; the retry is then counted in the budget, unless no backend server has got the request before. */
   private tryCountRetry(
     accepted: requests.AcceptedRequest,
     progress: Progress,
   ): boolean {
     if (!this.isRetryAllowed(accepted, progress)) return false;
+    if (!progress.hasArrived) return true;
     return this.options.fleetLimits.tryCountRetry(accepted.service);
   }
 
