Cancelled requests count at brittle servers until they notice

Callers saw: single rejections by servers that state Server-Brittle, also while no more requests than slots were granted.

Cause: the slot of a cancelled request is granted again at once, and the next request may reach the server before the close of the cancelled one, which takes longer through another host.

Evidence: the new test before the change gets a grant of 'next' in place of none.

At a brittle runner a cancelled request counts for another 100 ms.

--- a/packages/decisions/src/cell.test.ts
+++ b/packages/decisions/src/cell.test.ts
@@ -677,6 +677,20 @@
   assert.equal(effect.kind === 'refuse' && effect.reason, 'no-runner');
 });
 
+// Guards against a request at a brittle runner that has not yet noticed the close of a cancelled one, and rejects it.
+test.test('a cancelled ticket occupies a brittle runner for a moment', () => {
+  const brittle = {kind: 'brittle', runner: 's1', part: 1} as const;
+  const cancelled = {kind: 'done', ticketId: 'busy'} as const;
+  const outcome = {kind: 'cancelled'} as const;
+  const busy = busyCell().apply(brittle, 0).cell;
+  const waiting = busy.apply(ask(ticket('next')), 10).cell;
+  const freed = waiting.apply({...cancelled, outcome}, 20);
+  assert.deepEqual(grants(freed), []);
+  const {cell} = freed.cell.apply({kind: 'tick'}, 100);
+  assert.deepEqual(cell.running, []);
+  assert.deepEqual(grants(cell.apply({kind: 'tick'}, 130)), ['next']);
+});
+
 // Guards against a brittle runner that gets all its slots filled at once after a failure.
 test.test('a brittle runner that was down comes back gently', () => {
   const roomy = {...server('s1'), slotTokens: 1e6, maxRunning: 4};
--- a/packages/decisions/src/cell.ts
+++ b/packages/decisions/src/cell.ts
@@ -301,8 +301,10 @@
     const released = runner
       .release(grant.ticket, wasAnswered, nowMs)
       .recordOutcome(outcome, nowMs);
-    const mayRunOn = outcome.kind === 'cancelled' && outcome.mayRunOn === true;
-    const freed = mayRunOn ? released.linger(grant, nowMs) : released;
+    const freed =
+      outcome.kind === 'cancelled'
+        ? released.linger(grant, outcome.mayRunOn ?? false, nowMs)
+        : released;
     const next = new Map(this.fields.runners).set(freed.name, freed);
     return this.withFields({
       running,
--- a/packages/decisions/src/runner.ts
+++ b/packages/decisions/src/runner.ts
@@ -53,6 +53,9 @@
   | {readonly kind: 'silent'}
   | {readonly kind: 'failed'; readonly isBroken?: boolean};
 
+/** How long a backend server may take to notice that a request was cancelled, in milliseconds. */
+const CLOSE_NOTICE_MS = 100;
+
 /** How long a request that may run on counts as running, as a multiple of its expected time. */
 const LINGER_FACTOR = 2;
 
@@ -442,10 +445,16 @@
     });
   }
 
-  /** Records that a request which has given its slot back may still run there, as if it took twice the expected time. */
-  linger({ticket, grantedMs}: tickets.Grant, nowMs: number): Runner {
+  /** Records that a request which was given up may still run there: until the backend server notices, or as if it took twice the expected time if that `mayRunOn`. */
+  linger(
+    {ticket, grantedMs}: tickets.Grant,
+    mayRunOn: boolean,
+    nowMs: number,
+  ): Runner {
     const endMs = grantedMs + LINGER_FACTOR * this.expectedMs(ticket);
-    const untilMs = Math.min(endMs, ticket.deadlineMs);
+    const untilMs = mayRunOn
+      ? Math.min(endMs, ticket.deadlineMs)
+      : nowMs + CLOSE_NOTICE_MS;
     const lingeringUntilMs = [...this.lingeringAt(nowMs), untilMs];
     return this.with({lingeringUntilMs});
   }
