A host that does not list a server keeps it from no other

What callers saw: while one host did not list a backend server that its keeper listed, as after a restore of the store or behind an outage, no host got slots there for 5 s after each request of that host, so for as long as it asked.

Cause: the host gave such a slot back as of a server that leaves, which the keeper applies to all.

Change: the slot is given back unused, and the next ask for this request leaves the server out. A server that leaves is taken from the keeper's own list; until then requests granted there are asked for once more and not sent.

--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -136,6 +136,8 @@
   refusedRepeats: number;
   /** The backend servers of all attempts; the keeper avoids them for a retry. */
   readonly triedServers: string[];
+  /** The backend servers of which slots were granted and that this host does not list. */
+  readonly unlistedServers: string[];
   /** The connections of all attempts. */
   readonly carriedBy: forwarding.connections.CarriedBy;
   lastEventId: string | undefined;
@@ -154,8 +156,6 @@
 
 /** The outcome of a slot that was not used. */
 const CANCELLED: decisions.runner.Outcome = {kind: 'cancelled'};
-/** The outcome of a slot whose backend server left or was evacuated before the send. */
-const GONE: decisions.runner.Outcome = {kind: 'not-admitted', isLeaving: true};
 
 /** Dispatches requests to backend servers and relays the responses. */
 export class Dispatcher {
@@ -197,7 +197,7 @@
       isRetryCounted: false,
       repeat: undefined,
       refusedRepeats: 0,
-      triedServers: [],
+      ...{triedServers: [], unlistedServers: []},
       carriedBy: new WeakSet(),
       lastEventId: forwarding.headers.value(
         received.headers,
@@ -312,11 +312,13 @@
         (this.nowMs - accepted.received.arrivedMs) / 1000,
       );
       const entry = directory.entry(grant.server.name);
-      if (entry && this.reports.backoffs.remainingMs(entry) > 0) {
+      // The keeper is told nothing: other hosts may list the server.
+      if (!entry) progress.unlistedServers.push(grant.server.name);
+      if (!entry || this.reports.backoffs.remainingMs(entry) > 0) {
         return this.returnSlot(accepted, progress, grant, slotRequest);
       }
-      if (!entry || !cold.trySend(entry.id)) {
-        slots.done(grant.ticketId, entry ? CANCELLED : GONE);
+      if (!cold.trySend(entry.id)) {
+        slots.done(grant.ticketId, CANCELLED);
         progress.isRetryCounted = progress.attempts > 0;
         return RETRY;
       }
@@ -339,7 +341,7 @@
     }
   }
 
-  /** Gives back a slot on a backend server that accepts nothing from this host now; the next slot request excludes the server. */
+  /** Gives back a slot on a backend server that this host does not list, or that accepts nothing from it now; the next slot request excludes the server. */
   private async returnSlot(
     accepted: requests.AcceptedRequest,
     progress: Progress,
@@ -557,7 +559,10 @@
       isSuspect: this.standingOf(accepted).status !== 'clear',
       avoid: progress.triedServers,
       allowedRegions: accepted.allowedRegions,
-      excluded: this.reports.backoffs.in(pool, accepted).excluded,
+      excluded: [
+        ...this.reports.backoffs.in(pool, accepted).excluded,
+        ...progress.unlistedServers,
+      ],
     };
   }
 
