--- a/packages/decisions/src/cell.test.ts
+++ b/packages/decisions/src/cell.test.ts
@@ -814,3 +814,33 @@
   applied = applied.cell.apply(ask(ticket('beside')), 5400);
   assert.deepEqual(grants(applied), ['beside']);
 });
+
+/** The longest time for which a runner that is back may get no request, by how it failed. */
+const LONGEST_BACKOFFS_MS = [
+  [{kind: 'not-admitted', isLeaving: false}, 500],
+  [{kind: 'unreachable'}, 1000],
+  [{kind: 'crashed'}, 2000],
+  [{kind: 'failed', isBroken: true}, 2000],
+  [{kind: 'silent'}, 5000],
+] as const;
+
+// Guards against backoffs that outlast the recovery of a fleet (RECOVER).
+for (const [outcome, longestMs] of LONGEST_BACKOFFS_MS) {
+  test.test(`the longest backoff, ${outcome.kind}`, () => {
+    let cell = cellWith(server('s1'));
+    let nowMs = 0;
+    let backoffMs = 0;
+    for (let i = 0; i < 20; i++) {
+      const id = `t${i}`;
+      const failedMs = nowMs;
+      cell = cell.apply(ask(ticket(id, {deadlineMs: 1e6})), nowMs).cell;
+      while (cell.running.length === 0) {
+        nowMs += 50;
+        cell = cell.apply({kind: 'tick'}, nowMs).cell;
+      }
+      backoffMs = nowMs - failedMs;
+      cell = cell.apply({kind: 'done', ticketId: id, outcome}, nowMs).cell;
+    }
+    assert.equal(backoffMs, longestMs);
+  });
+}
--- a/packages/gateway/src/looplag.test.ts
+++ b/packages/gateway/src/looplag.test.ts
@@ -24,3 +24,18 @@
     assert.ok(lag.lagMs < 20);
   },
 );
+
+// Guards against a host that refuses requests for long after it was frozen (RECOVER).
+test.test('the lag of a long freeze is gone within a second', () => {
+  let nowMs = 0;
+  const lag = new looplag.EventLoopLag(() => nowMs);
+  lag.start();
+  lag.stop();
+  nowMs = 60_000;
+  lag.sample();
+  for (let i = 0; i < 10; i++) {
+    nowMs += 100;
+    lag.sample();
+  }
+  assert.ok(lag.lagMs < 100, `${lag.lagMs} ms`);
+});
