--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -138,6 +138,8 @@
   refusedRepeats: number;
   /** The backend servers of all attempts; the keeper avoids them for a retry. */
   readonly triedServers: string[];
+  /** The backend servers of which slots were granted and that this host does not list. */
+  readonly unlistedServers: string[];
   /** The connections of all attempts. */
   readonly carriedBy: forwarding.connections.CarriedBy;
   lastEventId: string | undefined;
@@ -200,7 +202,7 @@
       isRetryCounted: false,
       repeat: undefined,
       refusedRepeats: 0,
-      triedServers: [],
+      ...{triedServers: [], unlistedServers: []},
       carriedBy: new WeakSet(),
       lastEventId: forwarding.headers.value(
         received.headers,
@@ -315,7 +317,8 @@
         (this.nowMs - accepted.received.arrivedMs) / 1000,
       );
       const entry = directory.entry(grant.server.name);
-      // That this host does not list the server any more, or not yet, tells others nothing.
+      // The keeper is told nothing: other hosts may list the server.
+      if (!entry) progress.unlistedServers.push(grant.server.name);
       if (!entry || this.reports.backoffs.remainingMs(entry) > 0) {
         return this.returnSlot(accepted, progress, grant, slotRequest);
       }
@@ -343,7 +346,7 @@
     }
   }
 
-  /** Gives back a slot on a backend server that accepts nothing from this host now, or that this host does not list; the next slot request excludes the server. */
+  /** Gives back a slot on a backend server that this host does not list, or that accepts nothing from it now; the next slot request excludes the server. */
   private async returnSlot(
     accepted: requests.AcceptedRequest,
     progress: Progress,
@@ -562,7 +565,10 @@
       isSuspect: this.standingOf(accepted).status !== 'clear',
       avoid: progress.triedServers,
       allowedRegions: accepted.allowedRegions,
-      excluded: this.reports.backoffs.in(pool, accepted).excluded,
+      excluded: [
+        ...this.reports.backoffs.in(pool, accepted).excluded,
+        ...progress.unlistedServers,
+      ],
     };
   }
 
