Links that open slowly at both sides are kept

What callers would see: hosts that close each other's links again and again, with the messages on them, where opening takes over a second (a lost first packet, busy hosts).

Cause: the age of a link counted from the start of its opening, so one that did not stand yet was taken for one that the peer had given up.

Taking links that are being opened as never given up is not enough: "hosts are together again after their links were dark" fails then.

Fix: a link counts from when it stands, which the accepting host tells by sending its metadata at once. While one is being opened, an accepted link takes its place without closing it; it is closed if it does not stand within 5 s. A host of an older build sends metadata with its first message only; a link to it that is being opened is never closed for that unless another one is in its place.

--- a/packages/peers/src/links.test.ts
+++ b/packages/peers/src/links.test.ts
@@ -1,4 +1,5 @@
 import * as assert from 'node:assert/strict';
+import * as net from 'node:net';
 import * as test from 'node:test';
 import * as timers from 'node:timers/promises';
 
@@ -144,3 +145,45 @@
     close(a, b, withoutTls);
   },
 );
+
+/** Forwards connections to a port after a delay, as where first packets are lost; resolves to its address. */
+async function delayed(port: number, delayMs: number): Promise<string> {
+  const server = net.createServer({pauseOnConnect: true}, inbound => {
+    inbound.on('error', () => undefined);
+    setTimeout(() => {
+      const outbound = net.connect(port, '127.0.0.1');
+      outbound.on('error', () => inbound.destroy());
+      outbound.on('close', () => inbound.destroy());
+      inbound.on('close', () => outbound.destroy());
+      inbound.pipe(outbound).pipe(inbound);
+    }, delayMs);
+  });
+  server.unref();
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
+  return `127.0.0.1:${(server.address() as net.AddressInfo).port}`;
+}
+
+// Guards against hosts that close each other's links again and again, as each takes over a second to open.
+test.test(
+  'links that are opened slowly at the same time are kept',
+  async () => {
+    const replaced: string[] = [];
+    const onLinkReplaced = (peer: string) => replaced.push(peer);
+    const a = await listen('a', {onLinkReplaced});
+    const b = await listen('b', {onLinkReplaced});
+    const portOf = ({address}: TestHost) => Number(address.split(':')[1]);
+    const [toA, toB] = [
+      await delayed(portOf(a), 1200),
+      await delayed(portOf(b), 1200),
+    ];
+    for (let i = 0; i < 60; i++) {
+      a.links.send('b', toB, detachMessage(`a${i}`));
+      b.links.send('a', toA, detachMessage(`b${i}`));
+      await timers.setTimeout(50);
+    }
+    await timers.setTimeout(1300);
+    assert.deepEqual([replaced, a.downPeers, b.downPeers], [[], [], []]);
+    assert.equal(a.received.length + b.received.length, 120);
+    close(a, b);
+  },
+);
--- a/packages/peers/src/links.ts
+++ b/packages/peers/src/links.ts
@@ -11,7 +11,9 @@
 const MAX_OUTBOX_MESSAGES = 20_000;
 const INITIAL_RECONNECT_BACKOFF_MS = 100;
 const MAX_RECONNECT_BACKOFF_MS = 1000;
-/** Two hosts that open links to each other within this time keep both, as neither has given up a link. */
+/** How long a link that is being opened is kept beside one that the other host has opened. */
+const OPENING_TIMEOUT_MS = 5000;
+/** Two hosts whose links to each other stand within this time keep both, as neither has given up a link. */
 const SIMULTANEOUS_MS = 1000;
 
 // Errors come through callbacks; the library would write them to standard error as well.
@@ -79,8 +81,8 @@
 interface Link {
   readonly stream: LinkStream;
   readonly client?: grpc.Client;
-  /** When it was opened or accepted, on the monotonic clock. */
-  readonly sinceMs: number;
+  /** Since when it stands, on the monotonic clock; Infinity while it is being opened. */
+  sinceMs: number;
 }
 
 /** A connection to another host for tunnels through it. */
@@ -243,7 +245,25 @@
       messages.decode,
       this.credentials(),
     );
-    return this.attach(host, {stream, client, sinceMs: performance.now()});
+    const link = this.attach(host, {stream, client, sinceMs: Infinity});
+    const timer = setTimeout(
+      () => this.giveUpOpening(host, link),
+      OPENING_TIMEOUT_MS,
+    );
+    timer.unref();
+    stream.once('metadata', () => {
+      clearTimeout(timer);
+      link.sinceMs = performance.now();
+    });
+    return link;
+  }
+
+  /** Closes a link that does not stand in time and that one of the other host has replaced meanwhile. */
+  private giveUpOpening(host: string, link: Link): void {
+    const current = this.links.get(host);
+    if (!current || current === link) return;
+    this.closeLink(host, link);
+    this.options.onLinkReplaced?.(host);
   }
 
   private accept(
@@ -254,6 +274,8 @@
   ): void {
     const host = this.authenticate(call);
     if (host === undefined) return;
+    // Tells the other host that the link stands, before any message does.
+    call.sendMetadata(new grpc.Metadata());
     this.replaceGivenUp(host);
     this.attach(host, {stream: call, sinceMs: performance.now()});
   }
@@ -262,10 +284,12 @@
    * Closes the current link to a host that opens a new one. A host opens a link
    * only when it has none, so it has given up the current one, which may have
    * fallen silent without a reset. As the host is heard, its silence won't show.
+   * One that is still being opened may stand later, and is kept beside the new one.
    */
   private replaceGivenUp(host: string): void {
     const current = this.links.get(host);
     if (!current) return;
+    if (current.sinceMs === Infinity) return void this.links.delete(host);
     if (performance.now() - current.sinceMs < SIMULTANEOUS_MS) return;
     this.closeLink(host, current);
     this.options.onLinkReplaced?.(host);
