A part at many crashes at once is suspect for longer

What callers would see: a prompt part that ends several backend servers at once counts as one crash, as in a loss of power, and was clear 15 s later; bursts further apart than that would end as many servers each time (BUDGET).

Evidence: the new test before: 'clear' at 75 s after five crashes at once ('suspect' wanted).

Fix: a part is suspect, so that its requests run alone, for 15 s for each of its crashes; an answer clears it at once, as before. Besides, counting the crashes of a part no longer copies all reports for each of them.

--- a/packages/decisions/src/suspectparts.test.ts
+++ b/packages/decisions/src/suspectparts.test.ts
@@ -118,6 +118,18 @@
   assert.deepEqual(statuses(inTurn, 2000, ['a']), ['refused']);
 });
 
+// Guards against a part that ends many backend servers at once, again and again, as it is clear in between (BUDGET).
+test.test('a part at many crashes at once is suspect for longer', () => {
+  const together = [0, 30, 60, 90, 120].map(atMs => crash(atMs, [['a']]));
+  const {SUSPICION_MS} = suspectparts;
+  const known = of(...together);
+  assert.deepEqual(statuses(known, 5 * SUSPICION_MS, ['a']), ['suspect']);
+  const late = 5 * SUSPICION_MS + 121;
+  assert.deepEqual(statuses(known, late, ['a']), ['clear']);
+  const answered = known.answer('a', 200);
+  assert.deepEqual(statuses(answered, 201, ['a']), ['clear']);
+});
+
 // Guards against the same where backend servers go one after the other, faster than their requests are answered.
 test.test('crashes of an answered part in a row count once', () => {
   const row = [0, 1, 2, 3].map(i => crash(20_000 + i * 800, [['a']]));
--- a/packages/decisions/src/suspectparts.ts
+++ b/packages/decisions/src/suspectparts.ts
@@ -10,7 +10,7 @@
 /** The least weight of a part's crashes for it to be refused; a crash that any of n parts may have caused weighs 1/n. */
 const MIN_WEIGHT = 1;
 
-/** How long a single crash makes its parts suspect, in milliseconds. */
+/** How long each crash makes its parts suspect, in milliseconds. */
 export const SUSPICION_MS = 15_000;
 
 /** How long after its last crash a refused part is tried again, in milliseconds; doubles with each further crash. */
@@ -142,8 +142,11 @@
     }
     if (status !== CLEAR) return status;
     for (const event of this.findings.unexplained) {
-      if (nowMs - event.lastMs > SUSPICION_MS) continue;
-      const shared = parts.filter(part => this.isBlamed(part, event));
+      const shared = parts.filter(
+        part =>
+          this.isBlamed(part, event) &&
+          nowMs - event.lastMs <= this.suspicionMs(part),
+      );
       if (shared.length === 0) continue;
       const crashIds = crashIdsOf(event);
       return {status: 'suspect', parts: shared, crashIds, retryAtMs: 0};
@@ -163,6 +166,11 @@
     return this.answeredMs;
   }
 
+  /** How long a part is suspect after a crash that it does not explain; longer after several at once, of which it may be the cause. */
+  private suspicionMs(part: string): number {
+    return SUSPICION_MS * this.crashes.of(part, NONE_EXPLAINED).length;
+  }
+
   private isBlamed(part: string, event: CrashEvent): boolean {
     const events = this.crashes.of(part, NONE_EXPLAINED);
     return events.includes(event) && this.crashes.score(part, events) > 0;
@@ -290,19 +298,22 @@
  * were under way at the same time count as one if they are many.
  */
 function countInTurn(part: string, events: readonly CrashEvent[]): number {
-  const groups: CrashEvent[][] = [];
+  const groupSizes: number[] = [];
+  let reports: suspects.Crash[] = [];
   for (const event of events) {
-    const group = groups.at(-1);
-    const reports = group?.flatMap(other => other.reports) ?? [];
     const dispatches = event.parts.get(part) ?? [];
     const isInTurn = dispatches.some(dispatch =>
       suspects.wasAfterCrash(dispatch, reports),
     );
-    if (group && !isInTurn) group.push(event);
-    else groups.push([event]);
+    if (groupSizes.length === 0 || isInTurn) {
+      groupSizes.push(0);
+      reports = [];
+    }
+    groupSizes[groupSizes.length - 1]++;
+    reports.push(...event.reports);
   }
-  return groups.reduce(
-    (sum, {length}) => sum + (length >= COMMON_CAUSE_CRASHES ? 1 : length),
+  return groupSizes.reduce(
+    (sum, size) => sum + (size >= COMMON_CAUSE_CRASHES ? 1 : size),
     0,
   );
 }
