A server whose clock went back takes its address over

What callers would see: a server that started with a clock behind that of its predecessor at the address was in no pool, and all requests met 421 for 1.5 s, as the predecessor counted as the last server of the service.

Evidence: "a server whose clock went back takes its address over" (directory.test) fails before: 'a', expected 'b'.

Fix: a refusal drops an entry at once if another server of the service is listed at its address.

--- a/packages/gateway/src/directory.test.ts
+++ b/packages/gateway/src/directory.test.ts
@@ -357,3 +357,14 @@
   directory.onServerEntry('a', entry('a', {startedAtMs: 6}));
   assert.deepEqual(names(directory), ['a']);
 });
+
+// Guards against a service that has no usable server, as its machine is back with a clock behind that of its entry from before.
+test.test('a server whose clock went back takes its address over', t => {
+  t.mock.timers.enable({apis: ['setTimeout']});
+  const before = entry('a', {startedAtMs: 3_600_000});
+  const after = entry('b', {startedAtMs: 5});
+  const directory = directoryWith(before, after);
+  configure(directory, 's');
+  directory.onMisdirected(before);
+  assert.deepEqual(names(directory), ['b']);
+});
--- a/packages/gateway/src/directory.ts
+++ b/packages/gateway/src/directory.ts
@@ -237,7 +237,7 @@
     const isFinal = entry.startedAtMs > 0;
     this.addDeparture(start, {isFinal, isStated: false});
     const known = this.entryOfStart(start);
-    if (!known || !this.isLast(known)) {
+    if (!known || !this.isLast(known) || this.hasOtherAt(known)) {
       return this.drop(start, 'another server at its address');
     }
     if (this.removalTimers.has(known.id)) return;
@@ -396,6 +396,16 @@
     return first === entry && others.length === 0;
   }
 
+  /** True if another backend server of the service is listed at the address of an entry. */
+  private hasOtherAt({id, service, address}: ServerEntry): boolean {
+    return [...this.entries.values()].some(
+      other =>
+        other.id !== id &&
+        other.service === service &&
+        other.address === address,
+    );
+  }
+
   /** Removes an entry after a delay, or later if the store is down by then. */
   private scheduleRemoval(id: string, forMs: number): void {
     const timer = setTimeout(() => {
