--- a/packages/fleet/src/crashes.test.ts
+++ b/packages/fleet/src/crashes.test.ts
@@ -407,7 +407,7 @@
 });
 
 // Guards against a request that is refused for an hour although nothing but coincidence speaks against it (RECOVER).
-test.test('a refused request is tried again within recovery-s', () => {
+test.test('a refused request is tried again within 12 s', () => {
   const sim = new Simulation({seed: 1, deadly: {}, hosts: 1});
   const [host] = sim.hosts;
   const identity = {requestId: 'r', fingerprint: 'f', parts: []};
