A failed attempt names the host that carried it

`send-failed` has `carrier` now, beside the number of the connection, so that the copy of a refusal on a kept tunnel (hypothesis 1) is told from a verdict of the way itself (hypothesis 3). The test of a refusal through another host checks it. No logic changed.

--- a/packages/forwarding/src/connections.ts
+++ b/packages/forwarding/src/connections.ts
@@ -26,8 +26,8 @@
   readonly connection: number;
   /** The number of requests that the connection has carried, this one included. */
   readonly requests: number;
-  /** True if the connection leads through another host. */
-  readonly isCarried: boolean;
+  /** The host through which the connection leads; undefined for one of this host. */
+  readonly carrier: string | undefined;
 }
 
 /** Numbers connections and counts the requests that they carry. */
@@ -46,7 +46,7 @@
     const use: ConnectionUse = {
       connection: known?.connection ?? ++this.openedCount,
       requests: (known?.requests ?? 0) + 1,
-      isCarried: isCarried(socket),
+      carrier: isCarried(socket) ? socket.carrier : undefined,
     };
     this.uses.set(socket, use);
     return use;
--- a/packages/forwarding/src/upstream.test.ts
+++ b/packages/forwarding/src/upstream.test.ts
@@ -460,6 +460,7 @@
 // Guards against the same where an attempt goes through another host, and only hosts of some regions may be used.
 test.test('a refusal through another host changes the connection', async () => {
   const refused = new Set<net.Socket>();
+  const used: (string | undefined)[] = [];
   let copies = 0;
   const server = net.createServer(socket => {
     socket.on('error', () => undefined);
@@ -477,12 +478,16 @@
     ...{address: `127.0.0.1:${port}`, method: 'GET', path: '/'},
     ...{headers: ['X-Id', 'a'], body: Buffer.alloc(0), requestId: 'a'},
     ...{carriedBy: new WeakSet(), allowedRegions: ['r']},
+    onConnected: ({carrier}: connections.ConnectionUse) => {
+      used.push(carrier);
+    },
   };
   const send = () => upstream.send(outbound, new AbortController().signal);
   assert.equal(failed(await send()).verdict, 'not-run');
   await pause(20);
   const answer = answered(await send());
   assert.equal(String(await upstreams.readBody(answer)), 'a!');
+  assert.deepEqual(used, ['h', 'h']);
   assert.equal(copies, 0);
   upstream.close();
   server.close();
--- a/packages/forwarding/src/upstream.ts
+++ b/packages/forwarding/src/upstream.ts
@@ -228,7 +228,7 @@
         const onConnected = () => {
           isConnected = true;
           outbound.onConnected?.(use);
-          if (!this.ways || use.isCarried) return;
+          if (!this.ways || use.carrier !== undefined) return;
           const onCut = () => outbound.onCut?.();
           const unwatch = this.ways.watch(outbound.address, socket, onCut);
           request.once('close', unwatch);
--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -962,6 +962,7 @@
       detail: failure.detail,
       connection: attempt.way.use?.connection,
       connectionRequests: attempt.way.use?.requests,
+      carrier: attempt.way.use?.carrier,
       afterMs: Math.round(this.nowMs - attempt.sentMs),
     });
     this.countAttempt(accepted, failure.cause);
@@ -1001,7 +1002,9 @@
   /** Resolves to whether the backend server of an attempt that broke off accepts connections from no host. */
   private async hasCrashed({entry, way}: Attempt): Promise<boolean> {
     const {paths} = this.options;
-    if (way.use?.isCarried) return paths.isRefusedByAll(entry.address);
+    if (way.use?.carrier !== undefined) {
+      return paths.isRefusedByAll(entry.address);
+    }
     return (await paths.examine(entry.address)) === 'refused';
   }
 
@@ -1012,7 +1015,9 @@
   ): boolean {
     const {paths} = this.options;
     if (cause === 'connect-failed') return !paths.isUnreachable(entry.address);
-    if (way.use?.isCarried) return failures.CARRIER_FAILURES.has(cause);
+    if (way.use?.carrier !== undefined) {
+      return failures.CARRIER_FAILURES.has(cause);
+    }
     return failures.LINK_FAILURES.has(cause) && paths.isCut(entry.address);
   }
 
