A backend server's own refusal status proves nothing

Cause: towards a caller these statuses are a promise, towards a host they are none, and the host relayed them as any other answer. What such an answer states (load, Retry-After) is used as before. 421 keeps its meaning, as it states by itself that the request has not run.

Not changed: an answer without a signature and with another status is relayed as it is, as it promises nothing.

--- a/packages/forwarding/src/upstream.ts
+++ b/packages/forwarding/src/upstream.ts
@@ -26,6 +26,9 @@
 const MAX_DRAINED_BYTES = 65_536;
 const DRAIN_TIMEOUT_MS = 1000;
 
+/** Towards a caller these statuses state that its request did not run; a backend server states that by a header. */
+const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+
 /** The lowest status of a final response; 101 ends a request as well, but no request asks for it. */
 const MIN_FINAL_STATUS = 200;
 
@@ -77,6 +80,7 @@
   | 'foreign-answer'
   | 'broken-answer'
   | 'refused'
+  | 'unproven-refusal'
   | 'wrong-server';
 
 /** An attempt without a usable response; `status` is 0 when no response arrived. */
@@ -354,6 +358,11 @@
       const failure = this.failure('refused', 'not-run', detail);
       return {...failure, status, load, statements};
     }
+    if (NOT_RUN_STATUSES.has(status)) {
+      const detail = `backend server answered ${status}, which does not say whether it ran the request`;
+      const failure = this.failure('unproven-refusal', 'may-have-run', detail);
+      return {...failure, status, load, statements};
+    }
     const encoding = response.headers['content-encoding'];
     if (encoding !== undefined && encoding !== 'identity') {
       request.destroy();
--- a/packages/gateway/src/failures.ts
+++ b/packages/gateway/src/failures.ts
@@ -28,6 +28,7 @@
   'timed-out': () => ({kind: 'failed'}),
   'foreign-answer': () => ({kind: 'failed'}),
   refused: () => ({kind: 'not-admitted', isLeaving: false}),
+  'unproven-refusal': () => ({kind: 'failed'}),
   'wrong-server': () => ({kind: 'not-admitted', isLeaving: true}),
 };
 
