A refusal of a pipelined request is not written in place of the answer before it

Callers saw: a request that may run once, and behind it in the same segment a malformed one or one with too large a head, got 400 or 431 as the only response on the connection. A caller takes it for the answer to the first request, which the host passed on nevertheless; it ran until the connection was closed 0.5 s later. Neither status is a promise, but a caller doesn't send such a request again.

Cause: the connection wrote the status if no request on it had got past `reading`. A request leaves that stage a tick after its last byte was parsed, so that the next request of the same segment met it as unread.

Change: no status is written while a request that has arrived whole is not answered; the connection closes, as it did for a request under way.

With both requests sent 150 ms apart it held before as well.

--- a/packages/gateway/src/callerconnection.ts
+++ b/packages/gateway/src/callerconnection.ts
@@ -280,7 +280,10 @@
     if (socket.destroyed) return;
     if (this.isClosing) return void socket.destroy();
     const isTold =
-      status !== undefined && this.stage === 'reading' && socket.writable;
+      status !== undefined &&
+      this.stage === 'reading' &&
+      !this.owesResponse &&
+      socket.writable;
     this.isClosing = true;
     this.options.onClosure(cause);
     this.gate.discard();
@@ -295,6 +298,13 @@
     setTimeout(() => socket.destroy(), CLOSE_TIMEOUT_MS);
   }
 
+  /** True if a request has arrived whole and is not answered: its caller takes the next response for its own. */
+  private get owesResponse(): boolean {
+    const {reading} = this;
+    const partial = reading && !reading.request.complete ? 1 : 0;
+    return this.requests.size > partial;
+  }
+
   /** The bytes of a head; fewer than it had, as blanks are not known, if that makes no difference or it came behind another request. */
   private headSize(
     request: http.IncomingMessage,
