An attempt counts as one that may have run from its connection on

What callers saw: 503, a promise that the request never runs, for an idempotent request or a stream that may be resumed while a second backend server worked on it: its silent first attempt was refused as not run within the 250 ms in which its repeat ran beside it, and no retry was left.

Cause: `mayHaveRun` was set when an attempt had failed or was overdue, so that an attempt under way counted as none. The class is a verdict that defaults to 'not run' until something is known. Now it is the other way round: an attempt is unproven from the moment its connection stands until its server states that it did not run the request; 408, 421, 429 and 503 need that no attempt is unproven. The other places that set the flag are gone.

What such a request may no longer get is a further attempt beyond its route's attempts, which the code before allowed it while the repeat ran.

--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -128,8 +128,8 @@
   attempts: number;
   /** True once an attempt may have arrived at its backend server. */
   hasArrived: boolean;
-  /** True when a failed attempt may have run the request. */
-  mayHaveRun: boolean;
+  /** The numbers of the attempts that reached a backend server which has not stated that it did not run the request. */
+  readonly unproven: Set<number>;
   /** True when the next attempt has already been counted in the retry budget. */
   isRetryCounted: boolean;
   /** The attempt that takes the place of the last one, which was given up for it. */
@@ -198,7 +198,7 @@
       holding,
       attempts: 0,
       hasArrived: false,
-      mayHaveRun: false,
+      unproven: new Set(),
       isRetryCounted: false,
       repeat: undefined,
       refusedRepeats: 0,
@@ -460,6 +460,7 @@
         onConnected: use => {
           attempt.way.use = use;
           progress.hasArrived = true;
+          progress.unproven.add(attempt.number);
           onConnected?.();
         },
         // What hangs on a link that is cut must not keep the slot from others.
@@ -467,6 +468,7 @@
       },
       AbortSignal.any([signal, attempt.cut.signal]),
     );
+    if (isNotRun(result)) progress.unproven.delete(attempt.number);
     this.reports.afterSend(entry, received.id, known, result);
     return result;
   }
@@ -633,12 +635,7 @@
     } finally {
       overlap.stop();
     }
-    const isNotRun =
-      result !== 'overdue' &&
-      result.kind === 'failed' &&
-      result.verdict === 'not-run';
-    if (isNotRun) progress.refusedRepeats++;
-    else progress.mayHaveRun = true;
+    if (result !== 'overdue' && isNotRun(result)) progress.refusedRepeats++;
     if (result === 'overdue') {
       if (progress.relayedMs === undefined) return {...attempt, opening};
       this.abandon(attempt);
@@ -797,7 +794,6 @@
     this.countAttempt(accepted, `status-${status}`);
     if (!isFailure) this.recordCompletion(accepted);
     if (isFailure) {
-      progress.mayHaveRun = true;
       // While no server accepts requests, this response is worth more than a rejection.
       progress.isRetryCounted =
         this.hasAcceptingServer(accepted, attempt) &&
@@ -933,7 +929,6 @@
     failure: forwarding.upstream.AttemptFailure,
     signal: AbortSignal,
   ): Promise<RetryDecision> {
-    if (failure.verdict === 'may-have-run') progress.mayHaveRun = true;
     this.reportFailure(accepted, attempt, failure);
     if (signal.aborted) {
       const isInDoubt = this.isInDoubt(attempt, failure);
@@ -1052,13 +1047,14 @@
   private isRetryAllowed(
     accepted: requests.AcceptedRequest,
     progress: Progress,
+    mayHaveRun = progress.unproven.size > 0,
   ): boolean {
     const {route} = accepted;
     if (progress.attempts >= MAX_ATTEMPTS) return false;
     if (accepted.deadlineMs - this.nowMs < MIN_RETRY_TIME_MS) return false;
     if (!this.options.shutdown.hasTimeFor(accepted)) return false;
     if (this.standingOf(accepted).status === 'refused') return false;
-    if (!progress.mayHaveRun) return true;
+    if (!mayHaveRun) return true;
     const attempts = progress.attempts - progress.refusedRepeats;
     if (attempts >= route.maxAttempts) return false;
     if (route.repeatability === 'stream') return route.isResumable;
@@ -1074,10 +1070,9 @@
   ): RetryDecision {
     if (progress.relayedMs !== undefined)
       return ended({kind: 'broken-off', reason});
-    const status = progress.mayHaveRun ? 502 : 503;
-    const rejectionRetryAfterMs = progress.mayHaveRun
-      ? undefined
-      : retryAfterMs;
+    const mayHaveRun = progress.unproven.size > 0;
+    const status = mayHaveRun ? 502 : 503;
+    const rejectionRetryAfterMs = mayHaveRun ? undefined : retryAfterMs;
     return ended(
       requests.rejection(status, reason, rejectionRetryAfterMs, detail),
     );
@@ -1125,7 +1120,7 @@
     const reason = 'deadline';
     if (progress.relayedMs !== undefined)
       return ended({kind: 'broken-off', reason});
-    const status = progress.mayHaveRun ? 504 : 503;
+    const status = progress.unproven.size > 0 ? 504 : 503;
     return ended(requests.rejection(status, reason, undefined, detail));
   }
 
@@ -1148,7 +1143,7 @@
     accepted: requests.AcceptedRequest,
     progress: Progress,
   ): boolean {
-    return this.isRetryAllowed(accepted, {...progress, mayHaveRun: true});
+    return this.isRetryAllowed(accepted, progress, true);
   }
 
   private addSample(
@@ -1218,6 +1213,11 @@
   throw error;
 }
 
+/** True if the backend server of an attempt can't have run the request, or says that it did not. */
+function isNotRun(result: forwarding.upstream.AttemptResult): boolean {
+  return result.kind === 'failed' && result.verdict === 'not-run';
+}
+
 function ended(result: DispatchResult): RetryDecision {
   return {kind: 'ended', ended: result};
 }
