Pipelined requests end with their connection

Callers saw: after a caller had closed a connection with several requests under way, those behind the first ran on for nobody, and what they held was never given back: heads and responses counted in the account of buffers for the life of the process, and each such connection as one with a request dispatched behind another. 128 of them leave two pipelined requests a connection for everyone, and enough of them end requests of others for room (503).

Cause: Node.js emits `close` on the response that a connection is writing, not on those queued behind it, so that neither the dispatcher nor the account heard of it.

Change: when the connection closes, the queued responses are closed as well.

--- a/packages/gateway/src/callerconnection.ts
+++ b/packages/gateway/src/callerconnection.ts
@@ -84,6 +84,8 @@
   readonly holding: forwarding.buffers.Holding;
   /** The bytes read when its last response was flushed; more of them are the start of a request. */
   private idleBytes = 0;
+  /** The responses that have not been flushed. */
+  private readonly responses = new Set<http.ServerResponse>();
   private readonly gate: callergate.Gate;
   private reading: Reading | undefined;
   private readonly dispatched = new Set<OpenRequest>();
@@ -126,6 +128,10 @@
     socket.once('close', () => {
       this.gate.discard();
       this.holding.release();
+      // Node.js closes only the response that it writes, not those behind it.
+      for (const response of this.responses) {
+        if (!response.socket) response.emit('close');
+      }
     });
     this.holding.signal.addEventListener('abort', () => this.close('no-room'));
     const {CONNECTION_BYTES: ownBytes} = callerbounds;
@@ -163,7 +169,9 @@
     if (wireBytes > maxHeaderBytes) body.end('head-too-large');
     this.reading = {request, holding, body};
     if (this.requests.size >= this.maxPipelined) gate.hold('pipelined');
+    this.responses.add(response);
     response.once('close', () => {
+      this.responses.delete(response);
       holding.release();
       this.onAnswered(tracked);
       this.idleBytes = socket.bytesRead;
