An interim response is no part of the answer after it

Callers saw: a request with Expect: 100-continue behind another one that is not answered yet got an answer whose body began with "HTTP/1.1 100 Continue"; the last 25 bytes of its own body were read as the start of the answer to the next request.

Cause: Node.js writes the interim response at once; as the response waits for its turn, the bytes are kept and sent behind the head of the final response.

Change: the interim response of a request that waits for its turn is written when its turn comes, unless its body has arrived or it is answered by then. Its answer then ends the connection, as Node.js closes after an answer without an interim response that was asked for; a request further behind gets a closed connection.

--- a/packages/gateway/src/callerconnections.ts
+++ b/packages/gateway/src/callerconnections.ts
@@ -66,6 +66,10 @@
     server.on('clientError', (error: NodeJS.ErrnoException, socket) =>
       this.onClientError(error, socket as net.Socket),
     );
+    server.on('checkContinue', (request, response) => {
+      continueInOrder(request, response);
+      server.emit('request', request, response);
+    });
     this.timer = setInterval(() => this.check(), CHECK_INTERVAL_MS);
     this.timer.unref();
   }
@@ -196,3 +200,14 @@
     connection.close(cause, status);
   }
 }
+
+/** Asks for the body of a request. Node.js would put the interim response of one behind others into the body of its final response. */
+function continueInOrder(
+  request: http.IncomingMessage,
+  response: http.ServerResponse,
+): void {
+  if (response.socket) return response.writeContinue();
+  response.once('socket', () => {
+    if (!response.headersSent && !request.complete) response.writeContinue();
+  });
+}
