A reset with the last bytes of an answer breaks its tunnel

Callers whose host reaches a server through another host could get a cut answer as a whole one: an answer with neither a length nor chunks ends with its connection, and Node.js reports a reset that arrives with the last bytes as a normal end.

--- a/packages/peers/src/tunnels.test.ts
+++ b/packages/peers/src/tunnels.test.ts
@@ -204,3 +204,51 @@
   });
   echo.close();
 });
+
+/** Writes part of an answer through a tunnel and ends its connection in some way; resolves to whether the tunnel ends as a whole answer does. */
+async function endsWhole(
+  end: (atServer: net.Socket, atCarrier: stream.Duplex) => void,
+): Promise<boolean> {
+  const {accept} = connector();
+  const carried: stream.Duplex[] = [];
+  const acceptRecorded: tunnels.TunnelAcceptor = (from, address) => {
+    const accepted = accept(from, address);
+    carried.push(accepted.connection);
+    return accepted;
+  };
+  const server = net.createServer({allowHalfOpen: true}, socket => {
+    socket.on('error', () => undefined);
+    socket.once('data', () => end(socket, carried[0]));
+  });
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
+  const {port} = server.address() as net.AddressInfo;
+  let isWhole = false;
+  await withHosts(acceptRecorded, async open => {
+    const tunnel = open(`127.0.0.1:${port}`);
+    tunnel.on('error', () => undefined);
+    tunnel.once('end', () => (isWhole = true));
+    tunnel.resume();
+    tunnel.write('request');
+    await new Promise(resolve => tunnel.once('close', resolve));
+  });
+  server.close();
+  return isWhole;
+}
+
+test.test('an answer that ends with its connection ends its tunnel', async () =>
+  assert.ok(await endsWhole(server => server.end('whole'))),
+);
+
+// Guards against an answer without a length that looks whole, as the carrier reads the reset behind it as its end (MIXED).
+test.test(
+  'a reset that comes with the last bytes breaks the tunnel',
+  async () => {
+    for (let i = 0; i < 20; i++) {
+      const end = (server: net.Socket) => {
+        server.write('part');
+        server.resetAndDestroy();
+      };
+      assert.equal(await endsWhole(end), false, `at connection ${i}`);
+    }
+  },
+);
--- a/packages/peers/src/tunnels.ts
+++ b/packages/peers/src/tunnels.ts
@@ -232,7 +232,13 @@
   }
   const {connection: socket, onBuffered} = accepted;
   let isConnected = false;
+  let isOver = false;
   let unsentBytes = 0;
+  const breakOff = (details: string) => {
+    if (isOver || call.cancelled) return;
+    isOver = true;
+    call.emit('error', {code: grpc.status.ABORTED, details});
+  };
   const report = () => onBuffered(unsentBytes + socket.writableLength);
   socket.once('connect', () => {
     isConnected = true;
@@ -256,12 +262,22 @@
       if (unsentBytes > HIGH_WATER_BYTES) socket.pause();
       report();
     });
-    socket.on('end', () => call.end());
+    socket.on('end', () => {
+      // A reset that arrives with the last bytes is reported as a normal end;
+      // only the missing remote address tells them apart, unless both sides have ended.
+      const isReset =
+        !socket.writableEnded &&
+        'remoteAddress' in socket &&
+        socket.remoteAddress === undefined;
+      if (isReset) return breakOff('reset');
+      isOver = true;
+      call.end();
+    });
   });
   socket.on('error', error => {
-    if (!isConnected) return refuse(call, error);
-    const {message: details} = error;
-    call.emit('error', {code: grpc.status.ABORTED, details});
+    if (isConnected) return breakOff(error.message);
+    isOver = true;
+    refuse(call, error);
   });
   socket.on('close', () => {
     if (!call.cancelled) call.end();
