A connection that its carrier closes breaks its tunnel

Callers whose host reaches a server through another host could get a cut answer as a whole one: the carrier ended the tunnel normally when it closed the connection itself, as it does when its buffers have no room, and an answer with neither a length nor chunks ends with its connection (MIXED). A connection that was closed before it stood left the user of the tunnel without an error, and waiting for its timeout.

The carrier now ends a tunnel normally only after the server has ended the connection.

--- a/packages/peers/src/tunnels.test.ts
+++ b/packages/peers/src/tunnels.test.ts
@@ -252,3 +252,15 @@
     }
   },
 );
+
+// Guards against the same where the carrier closes the connection, for room or as it stops (MIXED).
+test.test(
+  'a connection that its carrier closes breaks the tunnel',
+  async () => {
+    const end = (server: net.Socket, carrier: stream.Duplex) => {
+      server.write('part');
+      carrier.once('data', () => carrier.destroy());
+    };
+    assert.equal(await endsWhole(end), false);
+  },
+);
--- a/packages/peers/src/tunnels.ts
+++ b/packages/peers/src/tunnels.ts
@@ -279,9 +279,8 @@
     isOver = true;
     refuse(call, error);
   });
-  socket.on('close', () => {
-    if (!call.cancelled) call.end();
-  });
+  // Without an end before, this host has closed it.
+  socket.on('close', () => breakOff('closed by the carrier'));
   call.on('cancelled', () => socket.destroy());
   call.on('close', () => socket.destroy());
 }
