A request behind a refusal that closes the connection does not run

Callers saw: of three requests on one connection, the second too large or too slow to be read, the third ran and was never answered: the refusal of the second says "Connection: close", after which no further request may be processed (RFC 9112, section 9.6), and a caller may take what it sent behind for unread.

Cause: the rest of a refused request is still parsed, so that the refusal arrives, and so was what came behind it. Behind a request that is still under way the refusal waits for its turn, in which time the third one was passed on.

Change: once a request is refused before it was read, nothing behind it on its connection is parsed.

--- a/packages/gateway/src/callerconnection.ts
+++ b/packages/gateway/src/callerconnection.ts
@@ -88,6 +88,8 @@
   private readonly responses = new Set<http.ServerResponse>();
   private readonly gate: callergate.Gate;
   private reading: Reading | undefined;
+  /** The body of the last request that has begun. */
+  private lastBody: requestbody.RequestBody | undefined;
   private readonly dispatched = new Set<OpenRequest>();
   /** Called when a request was answered. */
   private readonly waiting: (() => void)[] = [];
@@ -138,14 +140,15 @@
     this.holding.setPart('own', ownBytes, 'connections');
   }
 
-  /** Begins to read a request, which is tracked until the last byte of its response has been flushed or the connection has closed. */
+  /** Begins to read a request, which is tracked until the last byte of its response has been flushed or the connection has closed; undefined if the response to an earlier one closes the connection. */
   begin(
     request: http.IncomingMessage,
     response: http.ServerResponse,
     id: string,
     arrivedMs: number,
-  ): IncomingRequest {
+  ): IncomingRequest | undefined {
     const {gate, socket} = this;
+    if (this.lastBody?.isRefused) return void gate.discard();
     const tracked: OpenRequest = {id, arrivedMs, stage: 'reading'};
     this.requests.add(tracked);
     this.isUsed = true;
@@ -168,6 +171,7 @@
     );
     if (wireBytes > maxHeaderBytes) body.end('head-too-large');
     this.reading = {request, holding, body};
+    this.lastBody = body;
     if (this.requests.size >= this.maxPipelined) gate.hold('pipelined');
     this.responses.add(response);
     response.once('close', () => {
--- a/packages/gateway/src/requestbody.ts
+++ b/packages/gateway/src/requestbody.ts
@@ -101,7 +101,8 @@
   private readonly statedBytes: number | undefined;
   private settle: (result: Buffer | UnreadReason | undefined) => void = () =>
     undefined;
-  private isEnded = false;
+  private endReason: UnreadReason | undefined;
+  private isRead = false;
   private discardedBytes = 0;
 
   constructor(private readonly options: RequestBodyOptions) {
@@ -113,14 +114,16 @@
     this.statedBytes = length === undefined ? undefined : Number(length);
     request.on('data', (chunk: Buffer) => {
       gate.countChunk();
-      if (!this.isEnded) return this.add(chunk);
+      if (!this.hasEnded) return this.add(chunk);
       this.discardedBytes += chunk.length;
       if (this.discardedBytes > maxBytes) request.destroy();
     });
     // From now on chunks are passed on as they are parsed, so that the gate counts them in time.
     request.read(0);
     request.on('end', () => {
-      if (!this.isEnded) this.settle(this.chunks.concat());
+      if (this.hasEnded) return;
+      this.isRead = true;
+      this.settle(this.chunks.concat());
     });
     request.on('error', () => this.settle(undefined));
     request.on('close', () => this.settle(undefined));
@@ -132,19 +135,24 @@
 
   /** The bytes that are certainly still to come. */
   get bytesAhead(): number {
-    if (this.statedBytes === undefined || this.isEnded) return 0;
+    if (this.statedBytes === undefined || this.hasEnded) return 0;
     return this.statedBytes - this.chunks.bytes;
   }
 
   /** True once it is not read any more. */
   get hasEnded(): boolean {
-    return this.isEnded;
+    return this.endReason !== undefined;
+  }
+
+  /** True if the request is refused for what its caller sends, or for room before it was read; the response closes the connection. */
+  get isRefused(): boolean {
+    return this.hasEnded && !this.isRead && this.endReason !== 'cut';
   }
 
   /** Ends the reading; the rest is discarded as it comes. */
   end(reason: UnreadReason): void {
-    if (this.isEnded) return;
-    this.isEnded = true;
+    if (this.hasEnded) return;
+    this.endReason = reason;
     this.chunks.clear();
     this.options.holding.setPart('body', 0, 'bodies');
     this.settle(reason);
