Links that hold back bytes and pass them on later, for trials

A relay in the state 'hang' passes on what it held when it opens, also from an end that was reset meanwhile; 'dark' and 'silent' lose it.

--- a/packages/trials/src/relay.test.ts
+++ b/packages/trials/src/relay.test.ts
@@ -29,3 +29,30 @@
   server.close();
   assert.equal(wasEnded, false);
 });
+
+// Guards against runs late behind a cut that no trial shows, as their bytes are lost with the connection.
+test.test('what a link held is passed on after a reset', async () => {
+  const received: string[] = [];
+  const server = net.createServer(socket => {
+    socket.on('error', () => undefined);
+    socket.on('data', chunk => received.push(String(chunk)));
+  });
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
+  const {port} = server.address() as net.AddressInfo;
+  const relay = await relays.Relay.to(port);
+  const pause = () => new Promise(resolve => setTimeout(resolve, 50));
+  const client = net.connect(relay.port, '127.0.0.1');
+  client.write('before');
+  await pause();
+  relay.setState('hang');
+  client.write('held');
+  await pause();
+  client.resetAndDestroy();
+  await pause();
+  assert.deepEqual(received, ['before']);
+  relay.setState('open');
+  await pause();
+  relay.close();
+  server.close();
+  assert.deepEqual(received, ['before', 'held']);
+});
--- a/packages/trials/src/relay.ts
+++ b/packages/trials/src/relay.ts
@@ -5,7 +5,9 @@
  * new ones are forwarded; `dark` does so and accepts new ones without forwarding
  * them either; `cut` closes the existing connections and rejects new ones; `reset`
  * resets the existing ones and forwards new ones; `one-way` holds back what comes
- * from the target; `refuse` resets the existing connections and new ones, and
+ * from the target; `hang` holds back what comes on existing and new connections, and
+ * passes it on in the state `open`, also what comes from an end that has closed since;
+ * `refuse` resets the existing connections and new ones, and
  * `refuse-new` only new ones.
  */
 export type RelayState =
@@ -15,6 +17,7 @@
   | 'cut'
   | 'reset'
   | 'one-way'
+  | 'hang'
   | 'refuse'
   | 'refuse-new';
 
@@ -31,6 +34,9 @@
     outbound.pause();
     outbound.unpipe(inbound);
   },
+  hang: pair => {
+    for (const socket of pair) socket.unpipe().resume();
+  },
   silent: silencePair,
   dark: silencePair,
   cut: pair => {
@@ -55,6 +61,8 @@
   private readonly sourceByPort = new Map<number, string>();
   /** Connections from the target whose end is held back. */
   private readonly heldBack = new Set<net.Socket>();
+  /** What came on connections that hang. */
+  private readonly held = new Map<net.Socket, Buffer[]>();
   /** Connections that stay silent whatever the state. */
   private readonly silenced = new Set<net.Socket>();
 
@@ -111,7 +119,9 @@
     const isSilencing = state === 'silent' || state === 'dark';
     for (const [pair, source] of this.pairs) {
       if (!isMeant(source)) continue;
+      if (state === 'open') this.passOnHeld(pair);
       ON_STATE[state](pair);
+      if (state === 'hang') this.hold(pair);
       this.holdBack(pair, state === 'one-way');
       if (!isSilencing) continue;
       this.pairs.delete(pair);
@@ -148,27 +158,50 @@
       const other = socket === inbound ? outbound : inbound;
       socket.setNoDelay(true);
       socket.on('error', () => {
-        if (this.silenced.has(socket)) return;
+        if (this.silenced.has(socket) || this.held.has(socket)) return;
         forget();
         reset(other);
       });
       socket.on('close', () => {
         // A silenced connection does not tell its other side either.
         if (this.silenced.has(socket) || this.heldBack.has(socket)) return;
+        if (this.held.has(socket)) return;
         forget();
         // What was received is still passed on.
         other.destroySoon();
       });
       socket.on('data', (chunk: Buffer) => {
         this.passedBytes += chunk.length;
+        this.held.get(socket)?.push(chunk);
       });
     }
+    if (state === 'hang') return this.hold(pair);
     inbound.pipe(outbound);
     if (state !== 'one-way') outbound.pipe(inbound);
     else outbound.pause();
     this.holdBack(pair, state === 'one-way');
   }
 
+  private hold(pair: Pair): void {
+    for (const socket of pair) {
+      if (!this.held.has(socket)) this.held.set(socket, []);
+    }
+  }
+
+  private passOnHeld([inbound, outbound]: Pair): void {
+    for (const [from, to] of [
+      [inbound, outbound],
+      [outbound, inbound],
+    ]) {
+      const chunks = this.held.get(from);
+      if (!chunks || !this.held.delete(from)) continue;
+      if (!to.destroyed) for (const chunk of chunks) to.write(chunk);
+      if (from.destroyed) to.destroySoon();
+      else if (from.readableEnded) to.end();
+      else from.pipe(to);
+    }
+  }
+
   private holdBack([inbound, outbound]: Pair, isHeld: boolean): void {
     if (isHeld) return void this.heldBack.add(outbound);
     if (this.heldBack.delete(outbound) && outbound.destroyed) {
