An idle connection through another host ends before its server says

Cause: an idle connection of this host is closed one second before the time that the server states in Keep-Alive. The base class sets that time on the connection, where a tunnel ignored it; it stayed idle for 4 s whatever the server stated.

Change: a tunnel keeps the time that is set, and is closed after it.

--- a/packages/forwarding/src/connections.ts
+++ b/packages/forwarding/src/connections.ts
@@ -9,6 +9,8 @@
 /** A connection through another host, which has no timer of its own for idle times. */
 interface Carried extends stream.Duplex {
   readonly carrier: string;
+  /** The idle time that the base class has set for it, in milliseconds. */
+  readonly timeout?: number;
 
   startIdle(timeoutMs: number): void;
   stopIdle(): void;
@@ -141,7 +143,9 @@
       this.followed.add(socket);
       socket.once('close', () => this.idle.delete(socket));
     }
-    if (isCarried(socket)) socket.startIdle(this.idleTimeoutMs);
+    if (isCarried(socket)) {
+      socket.startIdle(socket.timeout ?? this.idleTimeoutMs);
+    }
     return true;
   }
 
--- a/packages/forwarding/src/upstream.test.ts
+++ b/packages/forwarding/src/upstream.test.ts
@@ -40,6 +40,7 @@
     ) => Promise<upstreams.AttemptResult>,
     server: net.Server,
   ) => Promise<void>,
+  ways?: paths.Paths,
 ): Promise<void> {
   const server = net.createServer(socket => {
     let requests = 0;
@@ -50,7 +51,7 @@
     server.listen(0, '127.0.0.1', resolve);
   });
   const {port} = server.address() as net.AddressInfo;
-  const upstream = new upstreams.Upstream(NAMES);
+  const upstream = new upstreams.Upstream(NAMES, ways);
   const send = (id: string, carriedBy: connections.CarriedBy = new WeakSet()) =>
     upstream.send(
       {
@@ -495,6 +496,34 @@
   server.close();
 });
 
+// Guards against requests on a connection through another host that its backend server is about to close.
+test.test(
+  'an idle connection through another host ends before its server says',
+  () => {
+    const idleTimesMs: number[] = [];
+    const startIdle = (timeoutMs: number) => idleTimesMs.push(timeoutMs);
+    const ways: Pick<paths.Paths, 'dial' | 'isCut'> = {
+      dial: (address, target, onDone) =>
+        carrying.dial(address, target, (error, connection) =>
+          onDone(error, connection && Object.assign(connection, {startIdle})),
+        ),
+      isCut: () => true,
+    };
+    return withServer(
+      socket =>
+        socket.write(
+          answerTo('a').replace('\r\n', '\r\nKeep-Alive: timeout=2\r\n'),
+        ),
+      async send => {
+        await upstreams.readBody(answered(await send('a')));
+        await pause(20);
+        assert.deepEqual(idleTimesMs, [1000]);
+      },
+      ways as paths.Paths,
+    );
+  },
+);
+
 // Guards against a new connection for every request after a refusal, which costs its backend server.
 test.test('another request goes on the connection of a refusal', () => {
   let connectionCount = 0;
--- a/packages/peers/src/tunnels.ts
+++ b/packages/peers/src/tunnels.ts
@@ -74,6 +74,8 @@
 export class Tunnel extends stream.Duplex {
   /** Bytes received, as of a socket. */
   bytesRead = 0;
+  /** The idle time that an HTTP client has set, in milliseconds; `startIdle` ends it. */
+  timeout: number | undefined;
   private isConnected = false;
   private isReading = false;
   private heldWrite: (() => void) | undefined;
@@ -128,7 +130,8 @@
     return this;
   }
 
-  setTimeout(): this {
+  setTimeout(timeoutMs: number): this {
+    this.timeout = timeoutMs;
     return this;
   }
 
