--- a/packages/forwarding/src/upstream.test.ts
+++ b/packages/forwarding/src/upstream.test.ts
@@ -40,6 +40,7 @@
     ) => Promise<upstreams.AttemptResult>,
     server: net.Server,
   ) => Promise<void>,
+  ways?: paths.Paths,
 ): Promise<void> {
   const server = net.createServer(socket => {
     let requests = 0;
@@ -50,7 +51,7 @@
     server.listen(0, '127.0.0.1', resolve);
   });
   const {port} = server.address() as net.AddressInfo;
-  const upstream = new upstreams.Upstream(NAMES);
+  const upstream = new upstreams.Upstream(NAMES, ways);
   const send = (id: string, carriedBy: connections.CarriedBy = new WeakSet()) =>
     upstream.send(
       {
@@ -241,6 +242,8 @@
   return `HTTP/1.1 200 OK\r\nX-Id: ${id}\r\nContent-Length: 2\r\n\r\n${id}!`;
 }
 
+const ANSWER_WITHOUT_ID = 'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n';
+
 /** Longer than a connection may take to stand. */
 const FROZEN_MS = 800;
 
@@ -493,6 +496,34 @@
   server.close();
 });
 
+// Guards against requests on a connection through another host that its backend server is about to close.
+test.test(
+  'an idle connection through another host ends before its server says',
+  () => {
+    const idleTimesMs: number[] = [];
+    const startIdle = (timeoutMs: number) => idleTimesMs.push(timeoutMs);
+    const ways: Pick<paths.Paths, 'dial' | 'isCut'> = {
+      dial: (address, target, onDone) =>
+        carrying.dial(address, target, (error, connection) =>
+          onDone(error, connection && Object.assign(connection, {startIdle})),
+        ),
+      isCut: () => true,
+    };
+    return withServer(
+      socket =>
+        socket.write(
+          answerTo('a').replace('\r\n', '\r\nKeep-Alive: timeout=2\r\n'),
+        ),
+      async send => {
+        await upstreams.readBody(answered(await send('a')));
+        await pause(20);
+        assert.deepEqual(idleTimesMs, [1000]);
+      },
+      ways as paths.Paths,
+    );
+  },
+);
+
 // Guards against a new connection for every request after a refusal, which costs its backend server.
 test.test('another request goes on the connection of a refusal', () => {
   let connectionCount = 0;
@@ -546,6 +577,48 @@
   );
 });
 
+/** How an idle connection ends. */
+const IDLE_ENDINGS: Readonly<Record<string, (socket: net.Socket) => void>> = {
+  'that its server closes': socket => socket.end(),
+  'on which a copy arrives': socket => socket.write(REFUSAL),
+};
+
+// Guards against "may have run" for a request that is given an idle connection that has just ended, though others stand.
+for (const [name, end] of Object.entries(IDLE_ENDINGS)) {
+  test.test(`an idle connection ${name} gets no request`, () => {
+    const sockets: net.Socket[] = [];
+    return withServer(
+      (socket, requests) => {
+        if (requests > 1) return void socket.write(answerTo('c'));
+        if (sockets.push(socket) < 2) return;
+        // The one that is answered last is used next.
+        for (const [i, each] of sockets.entries()) {
+          setTimeout(() => each.write(ANSWER_WITHOUT_ID), 20 * i);
+        }
+      },
+      async send => {
+        const used: net.Socket[] = [];
+        const add = (socket: net.Socket) => used.push(socket);
+        const carriedBy = {add, has: () => false};
+        const sendAndRead = async (id: string) => {
+          const sent = await send(
+            id,
+            carriedBy as unknown as connections.CarriedBy,
+          );
+          return upstreams.readBody(answered(sent));
+        };
+        await Promise.all([sendAndRead('a'), sendAndRead('b')]);
+        await pause(20);
+        const {remotePort} = sockets[1];
+        const last = used.find(({localPort}) => localPort === remotePort);
+        end(sockets[1]);
+        while (last?.writable) await new Promise(setImmediate);
+        assert.equal(String(await sendAndRead('c')), 'c!');
+      },
+    );
+  });
+}
+
 const ENDINGS: Readonly<Record<string, (socket: net.Socket) => void>> = {
   close: socket => socket.end(),
   reset: socket => socket.resetAndDestroy(),
