--- a/packages/forwarding/src/connections.ts
+++ b/packages/forwarding/src/connections.ts
@@ -9,6 +9,8 @@
 /** A connection through another host, which has no timer of its own for idle times. */
 interface Carried extends stream.Duplex {
   readonly carrier: string;
+  /** The idle time that the base class has set for it, in milliseconds. */
+  readonly timeout?: number;
 
   startIdle(timeoutMs: number): void;
   stopIdle(): void;
@@ -141,7 +143,9 @@
       this.followed.add(socket);
       socket.once('close', () => this.idle.delete(socket));
     }
-    if (isCarried(socket)) socket.startIdle(this.idleTimeoutMs);
+    if (isCarried(socket)) {
+      socket.startIdle(socket.timeout ?? this.idleTimeoutMs);
+    }
     return true;
   }
 
@@ -155,6 +159,12 @@
     super.reuseSocket(socket, request);
   }
 
+  /** Forgets idle connections that have ended and emit their `close` later; the base class would give out the last one. */
+  forgetEnded(options: PathRequestArgs): void {
+    const idle = this.freeSockets[this.getName(options)];
+    idle?.splice(0, idle.length, ...idle.filter(({writable}) => writable));
+  }
+
   /** True if a request with these options may get an idle connection that has carried it. */
   mayCarryTwice(options: PathRequestArgs, carriedBy: CarriedBy): boolean {
     const idle = this.freeSockets[this.getName(options)] ?? [];
