A repeat goes on when the attempt beside it fails

What callers saw: 502 (no-repeat-left) for an idempotent request, or a stream that may be resumed, although a second backend server worked on it and would have answered: its silent first attempt was refused or reset within the 250 ms in which the repeat ran beside it, the repeat was cancelled with it, and both had used up the route's attempts.

Cause: the end of an attempt stopped its watch for silence, and with it a repeat that was already sent. Now the host waits for such a repeat, at most its 250 ms, and lets it take the attempt's place. A repeat that still waits for a slot is given up as before.

In 'a refusal beside a repeat that runs' the repeat's server breaks off 100 ms after the refusal: the repeat is waited for now, and without an end it would run to the deadline; it fails on as before (503 for 502).

--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -497,6 +497,8 @@
         const {route} = accepted;
         this.options.shutdown.recordDuration(route.name, durationMs);
       }
+      // A repeat that is under way goes on in place of an attempt that has failed.
+      if (decision.kind === 'again') await silence.settle();
       return decision;
     } catch (error) {
       attempt.cut.abort();
@@ -584,9 +586,9 @@
     const silenceMs = this.silenceMs(accepted, progress);
     const watch = new silences.SilenceWatch<SentAttempt>({
       silenceMs,
-      secure: async stop => {
+      secure: async (stop, onSent) => {
         const unneeded = AbortSignal.any([signal, stop]);
-        const repeat = await this.repeat(accepted, progress, unneeded);
+        const repeat = await this.repeat(accepted, progress, unneeded, onSent);
         const isSecured = 'opening' in repeat;
         this.options.log.event('silent', accepted.received.id, {
           ...{server: attempt.entry.id, send: attempt.number, silenceMs},
@@ -616,6 +618,7 @@
     accepted: requests.AcceptedRequest,
     progress: Progress,
     signal: AbortSignal,
+    onSent: () => void,
   ): Promise<SentAttempt | NoRepeat> {
     const placement = await this.secureRepeat(accepted, progress, signal);
     if (typeof placement === 'string') return {reason: placement};
@@ -624,6 +627,7 @@
     const opening = this.open(attempt, accepted, progress, signal, () =>
       overlap.start(),
     );
+    onSent();
     // The repeat may not be waited for to its end.
     opening.catch(() => undefined);
     let result: forwarding.upstream.AttemptResult | 'overdue';
--- a/packages/gateway/src/silence.ts
+++ b/packages/gateway/src/silence.ts
@@ -15,9 +15,13 @@
   readonly silenceMs: number;
   /**
    * Secures a repeat; resolves to undefined when none is possible now. When
-   * `signal` aborts, the repeat is no longer needed.
+   * `signal` aborts, the repeat is no longer needed. `onSent` is called once it
+   * has been sent.
    */
-  readonly secure: (signal: AbortSignal) => Promise<Repeat | undefined>;
+  readonly secure: (
+    signal: AbortSignal,
+    onSent: () => void,
+  ) => Promise<Repeat | undefined>;
   /** Returns a repeat that was secured but is not needed. */
   readonly release: (repeat: Repeat) => void;
 }
@@ -29,6 +33,8 @@
   private immediate: NodeJS.Immediate | undefined;
   private securing: AbortController | undefined;
   private secured: Repeat | undefined;
+  /** The repeat that has been sent and may yet be secured. */
+  private sent: Promise<unknown> | undefined;
 
   constructor(private readonly options: SilenceWatchOptions<Repeat>) {
     this.arm();
@@ -44,6 +50,11 @@
     return this.secured;
   }
 
+  /** Resolves once it is known whether a repeat that has been sent takes the place of the attempt, which has failed. */
+  async settle(): Promise<void> {
+    await this.sent;
+  }
+
   /** Starts the silence anew, after data of the attempt. */
   onData(): void {
     this.stop();
@@ -69,7 +80,11 @@
   private async secureRepeat(): Promise<void> {
     const securing = new AbortController();
     this.securing = securing;
-    const repeat = await this.options.secure(securing.signal);
+    const securingRepeat = this.options.secure(securing.signal, () => {
+      this.sent = securingRepeat;
+    });
+    const repeat = await securingRepeat;
+    this.sent = undefined;
     if (securing.signal.aborted) {
       if (repeat !== undefined) this.options.release(repeat);
       return;
