--- a/review/lib-2/deployment.mjs
+++ b/review/lib-2/deployment.mjs
@@ -58,7 +58,7 @@
 /** Starts the store, the backend servers of version v1 and the hosts; resolves once all hosts are ready. */
 export async function start({atEnd, note}, {state, nameOf = zone => `edge-${zone}-1`, beforeHosts = () => undefined}) {
   const prefix = site.addressPrefix();
-  const folder = site.temporaryFolder();
+  const folder = site.temporaryFolder(atEnd);
   const store = new site.Store();
   atEnd(() => store.close());
   const runners = [];
--- a/review/lib-2/site.mjs
+++ b/review/lib-2/site.mjs
@@ -28,6 +28,13 @@
 export const sleep = ms => timers.setTimeout(ms);
 export const nowMs = () => performance.now();
 
+/** What was sent, answered and run, a line each; written to the record at the end. */
+const events = [];
+
+function trace(...parts) {
+  events.push(`${(nowMs() / 1000).toFixed(3)} ${parts.join(' ')}`);
+}
+
 /** The platform's store: one set of tables, reached at one address for each machine. */
 export class Store {
   rows = new Map();
@@ -272,6 +279,7 @@
     }
     const expected = headers['x-banyanhall-expected-endpoint'];
     if (expected !== undefined && expected !== this.id) {
+      trace('refused', requestId, 'by', this.id, 'as another server is expected');
       response.setHeader('X-Banyanhall-Endpoint-Id', this.id);
       return void response.writeHead(421, {'Content-Length': 0}).end();
     }
@@ -283,6 +291,7 @@
     for await (const _ of request);
     if (this.running >= this.capacity) {
       if (this.waiting.length >= this.queue) {
+        trace('refused', requestId, 'by', this.id, 'as it is full');
         response.setHeader('X-Banyanhall-Not-Executed', '1');
         return void response.writeHead(503, {'Content-Length': 0}).end();
       }
@@ -293,6 +302,7 @@
     const tenant = headers['x-banyanhall-tenant-id'];
     const usage = headers['x-banyanhall-token-usage'];
     this.ran.push({requestId, tenant, usage, path: target, atMs: nowMs()});
+    trace('run', requestId, target, 'by', this.id, this.service, this.version);
     await sleep(this.workMs);
     this.running--;
     response.setHeader('X-Banyanhall-Upstream-Signature', `${this.id}.${requestId}`);
@@ -468,9 +478,13 @@
 /** Sends one client attempt on a connection of its own; resolves to what the client saw. */
 export function send(ip, {path: target, method = 'GET', key, deadlineMs = 1200, body, headers = {}, id = newRequestId()}) {
   const sentMs = nowMs();
+  trace('sent', id, method, target, 'to', ip);
   return new Promise(resolve => {
-    const settle = answer =>
+    const settle = answer => {
+      const {status, isWhole, error = isWhole ? 'whole' : 'broken off'} = answer;
+      trace('answered', id, status, error);
       resolve({id, path: target, key, sentMs, endMs: nowMs(), ...answer});
+    };
     const request = http.request(
       {
         ...{host: ip, port: 8221, path: target, method, agent: false, timeout: deadlineMs + 1500},
@@ -510,8 +524,10 @@
 }
 
 /** A temporary folder, removed at the end. */
-export function temporaryFolder() {
-  return fs.mkdtempSync(path.join(os.tmpdir(), 'case-'));
+export function temporaryFolder(atEnd) {
+  const folder = fs.mkdtempSync(path.join(os.tmpdir(), 'case-'));
+  atEnd(() => fs.rmSync(folder, {recursive: true, force: true}));
+  return folder;
 }
 
 /** Runs a case: `run` resolves to true if the rule held. Writes the record, ends what was started and exits. */
@@ -537,7 +553,8 @@
       }
     }
     note('exit', code);
-    fs.writeFileSync(path.join(folder, 'record.txt'), `${record.join('\n')}\n`);
+    const lines = [...record, '', 'In order, in seconds:', ...events];
+    fs.writeFileSync(path.join(folder, 'record.txt'), `${lines.join('\n')}\n`);
     setTimeout(() => process.exit(code), 300);
   };
   for (const signal of ['SIGTERM', 'SIGINT', 'SIGHUP']) {
