--- a/review/6/case.mjs
+++ b/review/6/case.mjs
@@ -111,6 +111,7 @@
     }
     for (const host of victims) host.start();
   }
+  for (const host of hosts) await host.untilReady();
   const backMs = site.nowMs();
   note(at(), 'the machines are back');
   await site.sleep(RECOVERY_MS + AFTER_MS);
